--- /dev/null
+++ b/jest.config.js
@@ -0,0 +1,12 @@
+/** @type {import('jest').Config} */
+module.exports = {
+  testEnvironment: 'node',
+  roots: ['<rootDir>/packages'],
+  testMatch: ['**/tests/**/*.test.ts'],
+  moduleNameMapper: { '^@guavaspindle/([^/]+)/(.+)$': '<rootDir>/packages/$1/src/$2.ts' },
+  transform: {
+    '^.+\\.ts$': ['@swc/jest', { jsc: { parser: { syntax: 'typescript' }, target: 'es2022' } }],
+  },
+  testTimeout: 60000,
+  maxWorkers: 3,
+};
--- /dev/null
+++ b/packages/agent/src/bin/agent.ts
@@ -0,0 +1,17 @@
+import { buildProcessContext } from '@guavaspindle/runtime/process/build-process-context';
+import { runBinary } from '@guavaspindle/runtime/process/run-binary';
+import { startGuarded } from '@guavaspindle/runtime/process/start-guarded';
+import { buildAgent } from '../build-agent';
+import { agentSchema } from '../settings';
+
+runBinary({
+  name: 'agent',
+  about: "Carries the operators' table and membership to local processes; serves operators.",
+  schema: agentSchema,
+  start: (settings) => {
+    const context = buildProcessContext('agent', settings);
+    return startGuarded(context, settings.process.drainDeadline, (beginShutdown) =>
+      buildAgent(settings, context, beginShutdown),
+    );
+  },
+});
--- /dev/null
+++ b/packages/dispatcher/src/build-dispatcher.ts
@@ -0,0 +1,110 @@
+import { randomBytes } from 'node:crypto';
+import { DispatchKernel } from '@guavaspindle/kernel/dispatch/dispatch-kernel';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import '@guavaspindle/kernel/placement/assigned-placement';
+import '@guavaspindle/kernel/placement/random-placement';
+import { placementPolicies } from '@guavaspindle/kernel/placement/placement-policies';
+import '@guavaspindle/kernel/queue/fair-queue';
+import '@guavaspindle/kernel/queue/fifo-queue';
+import { queuePolicies } from '@guavaspindle/kernel/queue/queue-policies';
+import { TicketMint } from '@guavaspindle/kernel/submission/ticket-mint';
+import { IdempotencyLedger } from '@guavaspindle/platform/ledger/idempotency-ledger';
+import '@guavaspindle/platform/store/consul-store';
+import { storeAdapters } from '@guavaspindle/platform/store/store-adapters';
+import {
+  DispatcherService,
+  ProcessService,
+  Role,
+} from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+import { AgentLink } from '@guavaspindle/runtime/agent/agent-link';
+import { ControlServer } from '@guavaspindle/runtime/control/control-server';
+import { buildProcessService } from '@guavaspindle/runtime/events/build-process-service';
+import type { ProcessContext } from '@guavaspindle/runtime/process/process-context';
+import type { RunningProcess } from '@guavaspindle/runtime/process/running-process';
+import { getPlugin } from '@guavaspindle/runtime/process/get-plugin';
+import type { z } from 'zod';
+import { buildLoadReport } from './agent/build-load-report';
+import { readFleet } from './agent/read-fleet';
+import { readServers } from './agent/read-servers';
+import { DispatchEngine } from './dispatch-engine';
+import { TaskExecutor } from './execution/task-executor';
+import { DispatcherServer } from './service/dispatcher-server';
+import type { dispatcherSchema } from './settings';
+
+const SECRET_BYTES = 32;
+const DRAIN_POLL_MS = 20;
+
+/** Waits until the test holds. */
+async function waitUntil(test: () => boolean): Promise<void> {
+  while (!test()) {
+    // eslint-disable-next-line no-await-in-loop -- polls until the condition holds
+    await new Promise((resolve) => {
+      setTimeout(resolve, DRAIN_POLL_MS);
+    });
+  }
+}
+
+/** Wires a dispatcher's parts and opens its port. */
+export async function buildDispatcher(
+  settings: z.infer<typeof dispatcherSchema>,
+  context: ProcessContext,
+  beginShutdown: () => void,
+): Promise<RunningProcess> {
+  const { process: common, dispatcher, platform } = settings;
+  const { clock, ring, metrics, incarnation } = context;
+  const domain = common.domain as DomainName;
+  const placement = getPlugin(placementPolicies, dispatcher.placementPolicy);
+  const kernel = new DispatchKernel({
+    domain,
+    share: { index: dispatcher.index, count: dispatcher.count },
+    fleet: { self: incarnation, peers: [] },
+    queuePolicy: getPlugin(queuePolicies, dispatcher.queuePolicy)(),
+    placementPolicy: placement(Math.random),
+    retentionMs: dispatcher.answerRetention,
+    maxAnswerBytes: dispatcher.answerMemory,
+  });
+  const executor = new TaskExecutor(clock, {
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
+    reportLeaving: (server) => engine.markLeaving(server),
+  });
+  const engine = new DispatchEngine({ kernel, executor, clock, ring, metrics });
+  const store = getPlugin(storeAdapters, platform.adapter)(platform.store);
+  const server = new DispatcherServer({
+    engine,
+    kernel,
+    mint: new TicketMint(domain, incarnation, randomBytes(SECRET_BYTES)),
+    ledger: new IdempotencyLedger(store, clock, platform.keyRetention),
+    clock,
+  });
+  const control = new ControlServer((router) => {
+    router.service(DispatcherService, server);
+    router.service(ProcessService, buildProcessService(ring, beginShutdown));
+  }, context.serverInterceptors);
+  await control.listen(common.control);
+  let isDraining = false;
+  const link = new AgentLink(context, {
+    role: Role.DISPATCHER,
+    domain,
+    address: common.control,
+    agents: common.agents,
+    reportLoad: () => ({ ...buildLoadReport(kernel), draining: isDraining }),
+    adoptTable: (table) => engine.adoptTable(table),
+    adoptServers: (servers) => engine.adoptServers(readServers(servers)),
+    adoptMembers: (members) => engine.adoptFleet(readFleet(incarnation, domain, members)),
+  });
+  link.start();
+  return {
+    countInProgress: () => kernel.countOpenJobs(),
+    async shutDown() {
+      isDraining = true;
+      engine.beginDrain();
+      await link.syncNow();
+      await waitUntil(() => kernel.countOpenJobs() === 0);
+      // The last answers leave with the calls that wait for them.
+      await control.close();
+      link.stop();
+      engine.close();
+      await store.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/dispatcher/src/dispatch-engine.ts
@@ -0,0 +1,141 @@
+import type { DispatchKernel } from '@guavaspindle/kernel/dispatch/dispatch-kernel';
+import type { KernelEffect } from '@guavaspindle/kernel/dispatch/kernel-effect';
+import type { SubmitDecision } from '@guavaspindle/kernel/dispatch/submit-decision';
+import type { EventRing } from '@guavaspindle/kernel/events/event-ring';
+import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { JobResult } from '@guavaspindle/kernel/outcome/job-result';
+import type { FleetView } from '@guavaspindle/kernel/placement/fleet-view';
+import type { ServerInfo } from '@guavaspindle/kernel/placement/server-info';
+import type { Job } from '@guavaspindle/kernel/submission/job';
+import type { JobSubmission } from '@guavaspindle/kernel/submission/job-submission';
+import type { OperatorsTable } from '@guavaspindle/kernel/table/operators-table';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import type { StatsD } from 'hot-shots';
+import type { TaskExecutor } from './execution/task-executor';
+
+/** How often time-driven decisions are taken. */
+const TICK_MS = 10;
+
+/** What the engine connects. */
+interface EngineParts {
+  readonly kernel: DispatchKernel;
+  readonly executor: TaskExecutor;
+  readonly clock: Clock;
+  readonly ring: EventRing;
+  readonly metrics: StatsD;
+}
+
+/** Runs the kernel on the process's loop: feeds it what happens and carries out its effects. */
+export class DispatchEngine {
+  private readonly waiters = new Map<JobId, ((result: JobResult) => void)[]>();
+
+  private readonly ticker: NodeJS.Timeout;
+
+  constructor(private readonly parts: EngineParts) {
+    this.ticker = setInterval(() => {
+      this.parts.kernel.advanceTime(this.parts.clock.now());
+      this.applyEffects();
+    }, TICK_MS);
+  }
+
+  /** Submits a job to the kernel. */
+  submitJob(submission: JobSubmission, number: number): SubmitDecision {
+    const decision = this.parts.kernel.submitJob(submission, number, this.parts.clock.now());
+    this.applyEffects();
+    return decision;
+  }
+
+  /** Cancels a job and returns how many of its tasks had started. */
+  cancelJob(job: Job): number {
+    const started = this.parts.kernel.cancelJob(job, this.parts.clock.now());
+    this.applyEffects();
+    return started;
+  }
+
+  /** Adopts a newer table. */
+  adoptTable(table: OperatorsTable): void {
+    this.parts.kernel.adoptTable(table, this.parts.clock.now());
+    this.applyEffects();
+  }
+
+  /** Adopts a newer instance list. */
+  adoptServers(servers: readonly ServerInfo[]): void {
+    this.parts.kernel.adoptServers(servers, this.parts.clock.now());
+    this.parts.executor.retainServers(servers);
+    this.applyEffects();
+  }
+
+  /** Adopts what the other dispatchers report. */
+  adoptFleet(fleet: FleetView): void {
+    this.parts.kernel.adoptFleet(fleet, this.parts.clock.now());
+    this.applyEffects();
+  }
+
+  /** Takes a server's own word that it leaves. */
+  markLeaving(server: ServerInfo): void {
+    this.parts.kernel.markLeaving(server);
+    this.applyEffects();
+  }
+
+  /** Refuses new submissions from now on. */
+  beginDrain(): void {
+    this.parts.kernel.beginDrain();
+    this.applyEffects();
+  }
+
+  /** Waits for a job's end. */
+  waitForJob(job: Job): Promise<JobResult> {
+    if (job.result !== undefined) {
+      return Promise.resolve(job.result);
+    }
+    return new Promise((resolve) => {
+      const waiting = this.waiters.get(job.id) ?? [];
+      waiting.push(resolve);
+      this.waiters.set(job.id, waiting);
+    });
+  }
+
+  /** Stops the loop and cuts connections to backend servers. */
+  close(): void {
+    clearInterval(this.ticker);
+    this.parts.executor.close();
+  }
+
+  private applyEffects(): void {
+    this.parts.kernel.takeEffects().forEach((effect) => this.applyEffect(effect));
+  }
+
+  private applyEffect(effect: KernelEffect): void {
+    switch (effect.type) {
+      case 'start':
+        this.parts.metrics.increment('starts');
+        void this.parts.executor.runAttempt(effect).then((outcome) => {
+          this.parts.metrics.increment(`attempts.${outcome.type}`);
+          this.parts.kernel.endAttempt(effect.attempt, outcome, this.parts.clock.now());
+          this.applyEffects();
+        });
+        return;
+      case 'stop':
+        void this.parts.executor.stopAttempt(effect);
+        return;
+      case 'job-ended':
+        this.resolveWaiters(effect.job);
+        return;
+      case 'record':
+        this.parts.ring.recordEvent(effect.event);
+        return;
+      default:
+        effect satisfies never;
+    }
+  }
+
+  private resolveWaiters(job: Job): void {
+    const { result } = job;
+    if (result === undefined) {
+      throw new Error(`Job ${job.id} ended without a result.`);
+    }
+    const waiting = this.waiters.get(job.id) ?? [];
+    this.waiters.delete(job.id);
+    waiting.forEach((resolve) => resolve(result));
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/execution/classify-answer.ts
@@ -0,0 +1,48 @@
+import type { AttemptId } from '@guavaspindle/kernel/ids/attempt-id';
+import type { AttemptOutcome } from '@guavaspindle/kernel/outcome/attempt-outcome';
+import { NotRun } from '@guavaspindle/kernel/outcome/not-run';
+
+const OK = 200;
+const TOO_MANY_REQUESTS = 429;
+const SERVER_ERROR = 500;
+const UNAVAILABLE = 503;
+
+/** Parses JSON text; undefined if it is none. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Tells whether an answer's body names the attempt that was sent. */
+function namesAttempt(body: unknown, attempt: AttemptId): body is { answer?: unknown } {
+  return (
+    typeof body === 'object' && body !== null && (body as { attempt?: unknown }).attempt === attempt
+  );
+}
+
+/**
+ * Classifies a backend server's whole answer to one attempt. Whatever does not prove that the
+ * task ran, or that it did not, is unknown.
+ */
+export function classifyAnswer(attempt: AttemptId, status: number, text: string): AttemptOutcome {
+  const body = parseJson(text);
+  if (status === TOO_MANY_REQUESTS || status === UNAVAILABLE) {
+    return NotRun.proveRefusedByServer(attempt, body).match<AttemptOutcome>(
+      (proof) => proof,
+      (reason) => ({ type: 'unknown', detail: `status ${status}, but ${reason}` }),
+    );
+  }
+  if (!namesAttempt(body, attempt)) {
+    return { type: 'unknown', detail: `status ${status} with an answer to another attempt` };
+  }
+  if (status === OK && body.answer !== undefined) {
+    return { type: 'answered', answerJson: JSON.stringify(body.answer) };
+  }
+  if (status === SERVER_ERROR) {
+    return { type: 'failed', detail: 'the backend server ran it and it failed' };
+  }
+  return { type: 'unknown', detail: `status ${status}` };
+}
--- /dev/null
+++ b/packages/dispatcher/src/execution/server-connection.ts
@@ -0,0 +1,58 @@
+import { Pool } from 'undici';
+
+/** A backend server takes at most 64 connections; with six dispatchers, eight each fit. */
+const CONNECTIONS_PER_SERVER = 8;
+const CONNECT_TIMEOUT_MS = 1_000;
+/** Idle connections are not reused after this time, since they may have gone silent. */
+const KEEP_ALIVE_MS = 2_000;
+/** A suspect set of connections is replaced at most this often. */
+const MIN_REPLACE_MS = 1_000;
+
+/** The connections to one backend server, replaced as a whole when one seems to be silent. */
+export class ServerConnection {
+  private current: Pool;
+
+  private replacedAtMs = -Infinity;
+
+  constructor(private readonly address: string) {
+    this.current = this.createPool();
+  }
+
+  /** The connections to use for the next request. */
+  get pool(): Pool {
+    return this.current;
+  }
+
+  /**
+   * Gives later requests fresh connections; requests in progress keep theirs.
+   *
+   * @returns false if that was done a moment ago
+   */
+  replacePool(nowMs: number): boolean {
+    if (nowMs - this.replacedAtMs < MIN_REPLACE_MS) {
+      return false;
+    }
+    this.replacedAtMs = nowMs;
+    const old = this.current;
+    this.current = this.createPool();
+    // Resolves when the last request on the old connections has ended.
+    old.close().catch(() => {});
+    return true;
+  }
+
+  /** Cuts all connections. */
+  destroy(): void {
+    this.current.destroy().catch(() => {});
+  }
+
+  private createPool(): Pool {
+    return new Pool(`http://${this.address}`, {
+      connections: CONNECTIONS_PER_SERVER,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+}
--- /dev/null
+++ b/packages/dispatcher/src/service/dispatcher-server.ts
@@ -0,0 +1,184 @@
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type { ServiceImpl } from '@connectrpc/connect';
+import { buildProblem } from '@guavaspindle/kernel/dispatch/build-problem';
+import type { DispatchKernel } from '@guavaspindle/kernel/dispatch/dispatch-kernel';
+import type { CallerName } from '@guavaspindle/kernel/ids/caller-name';
+import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { Problem } from '@guavaspindle/kernel/outcome/problem';
+import type { Job } from '@guavaspindle/kernel/submission/job';
+import type { TicketMint } from '@guavaspindle/kernel/submission/ticket-mint';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import { computeKeyDigest } from '@guavaspindle/platform/ledger/compute-key-digest';
+import type { IdempotencyLedger } from '@guavaspindle/platform/ledger/idempotency-ledger';
+import type {
+  CancelJobReplySchema,
+  CancelJobRequest,
+  DispatcherService,
+  GetJobRequest,
+  JobReplySchema,
+  MintTicketsRequest,
+  SubmitJobRequest,
+} from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+import type { DispatchEngine } from '../dispatch-engine';
+import { buildJobReply } from './build-job-reply';
+import { readSubmission } from './read-submission';
+
+type JobReply = MessageInitShape<typeof JobReplySchema>;
+
+/** A ticket mint call may ask for this many at the most. */
+const MAX_TICKETS = 1_000;
+/** Advice to a caller whose key could not be claimed. */
+const STORE_RETRY_MS = 2_000;
+
+/** What the service works with. */
+interface ServiceParts {
+  readonly engine: DispatchEngine;
+  readonly kernel: DispatchKernel;
+  readonly mint: TicketMint;
+  readonly ledger: IdempotencyLedger;
+  readonly clock: Clock;
+}
+
+/** Answers the gateways: mints tickets, takes submissions, reports and cancels jobs. */
+export class DispatcherServer implements ServiceImpl<typeof DispatcherService> {
+  constructor(private readonly parts: ServiceParts) {}
+
+  mintTickets(request: MintTicketsRequest): { tickets: string[] } {
+    const caller = request.caller === '' ? undefined : (request.caller as CallerName);
+    const count = Math.min(request.count, MAX_TICKETS);
+    return { tickets: Array.from({ length: count }, () => this.parts.mint.mintTicket(caller)) };
+  }
+
+  async submitJob(request: SubmitJobRequest): Promise<JobReply> {
+    return request.idempotencyKey === ''
+      ? this.submitUnderTicket(request, request.ticket as JobId)
+      : this.submitUnderKey(request);
+  }
+
+  getJob(request: GetJobRequest): JobReply {
+    const found = this.findOwnJob(request.jobId as JobId, request.caller as CallerName);
+    if ('problem' in found) {
+      return buildJobReply(request.jobId as JobId, { type: 'problem', problem: found.problem });
+    }
+    return DispatcherServer.buildStateReply(found.job);
+  }
+
+  cancelJob(request: CancelJobRequest): MessageInitShape<typeof CancelJobReplySchema> {
+    const found = this.findOwnJob(request.jobId as JobId, request.caller as CallerName);
+    if ('problem' in found) {
+      return { result: { case: 'problem', value: found.problem } };
+    }
+    const started = this.parts.engine.cancelJob(found.job);
+    return { result: { case: 'cancelled', value: { started } } };
+  }
+
+  /** Claims the key in the ledger first; only the claim's own job may run. */
+  private async submitUnderKey(request: SubmitJobRequest): Promise<JobReply> {
+    const caller = request.caller as CallerName;
+    const jobId = this.parts.mint.mintTicket(caller);
+    const claimed = await this.parts.ledger.claimKey({
+      key: computeKeyDigest(caller, request.idempotencyKey),
+      jobId,
+      bodyHash: request.bodyHash,
+      claimedAtMs: this.parts.clock.wall(),
+    });
+    switch (claimed.type) {
+      case 'claimed':
+        return this.submitUnderTicket(request, jobId);
+      case 'taken':
+        return this.submitTaken(request, claimed.claim.jobId, claimed.claim.bodyHash);
+      case 'refused':
+        return buildJobReply(jobId, {
+          type: 'problem',
+          problem: buildProblem(
+            'store-unavailable',
+            'unknown',
+            'The key could not be checked, and an earlier submission under it may have run. ' +
+              'Send it again later, or use a ticket.',
+            STORE_RETRY_MS,
+          ),
+        });
+      case 'full':
+        return buildJobReply(jobId, {
+          type: 'problem',
+          problem: buildProblem(
+            'no-capacity',
+            'not-run',
+            'There is no room for new idempotency keys; use a ticket.',
+            STORE_RETRY_MS,
+          ),
+        });
+      default:
+        return claimed satisfies never;
+    }
+  }
+
+  /**
+   * The key belongs to an earlier claim. If this incarnation made it, the job is here, or it never
+   * started because the claim's answer was lost; then it may start now, under the same id.
+   */
+  private submitTaken(
+    request: SubmitJobRequest,
+    jobId: JobId,
+    bodyHash: string,
+  ): Promise<JobReply> | JobReply {
+    if (bodyHash !== request.bodyHash) {
+      const detail = 'The key was used with another body; use a new key.';
+      const problem = buildProblem('body-mismatch', 'not-run', detail);
+      return buildJobReply(jobId, { type: 'problem', problem });
+    }
+    const isOwn = this.parts.mint.findNumber(jobId, request.caller as CallerName) !== undefined;
+    return isOwn
+      ? this.submitUnderTicket(request, jobId)
+      : { jobId, result: { case: 'ownedByJobId', value: jobId } };
+  }
+
+  private async submitUnderTicket(request: SubmitJobRequest, jobId: JobId): Promise<JobReply> {
+    const number = this.parts.mint.findNumber(jobId, request.caller as CallerName);
+    if (number === undefined) {
+      return buildJobReply(jobId, {
+        type: 'problem',
+        problem: DispatcherServer.buildTicketProblem(),
+      });
+    }
+    const decision = this.parts.engine.submitJob(readSubmission(request, jobId), number);
+    if (decision.type === 'refused') {
+      return buildJobReply(jobId, { type: 'problem', problem: decision.problem });
+    }
+    if (!request.wait) {
+      return DispatcherServer.buildStateReply(decision.job);
+    }
+    return buildJobReply(jobId, await this.parts.engine.waitForJob(decision.job));
+  }
+
+  private static buildTicketProblem(): Problem {
+    const detail = 'The ticket is not one of this caller; ask for a new one.';
+    return buildProblem('ticket-invalid', 'not-run', detail);
+  }
+
+  private static buildStateReply(job: Job): JobReply {
+    if (job.result !== undefined) {
+      return buildJobReply(job.id, job.result);
+    }
+    const running = job.tasks.some((task) => task.state.type !== 'waiting');
+    return { jobId: job.id, result: { case: 'pending', value: { running } } };
+  }
+
+  private findOwnJob(id: JobId, caller: CallerName): { job: Job } | { problem: Problem } {
+    const job = this.parts.kernel.findJob(id);
+    if (job?.caller === caller) {
+      return { job };
+    }
+    const number = this.parts.mint.findNumber(id, caller);
+    const isForgotten = number !== undefined && this.parts.kernel.hasUsedTicket(number);
+    return {
+      problem: isForgotten
+        ? buildProblem('answer-forgotten', 'unknown', 'The answer is no longer kept.')
+        : buildProblem(
+            'unknown-job',
+            'not-run',
+            'No job of this caller was submitted under this id.',
+          ),
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/checks/check-body.ts
@@ -0,0 +1,35 @@
+import { buildProblem } from '@guavaspindle/kernel/dispatch/build-problem';
+import type { Problem } from '@guavaspindle/kernel/outcome/problem';
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+
+/** Formats a path such as tasks[3].payload. */
+function formatPath(path: readonly PropertyKey[]): string {
+  return path.reduce<string>((text, part) => {
+    if (typeof part === 'number') {
+      return `${text}[${part}]`;
+    }
+    return text === '' ? String(part) : `${text}.${String(part)}`;
+  }, '');
+}
+
+/** Checks a JSON body; the problem names the path of the first fault. */
+export function checkBody<Schema extends z.ZodType>(
+  schema: Schema,
+  text: string,
+): Result<z.infer<Schema>, Problem> {
+  let body: unknown;
+  try {
+    body = JSON.parse(text);
+  } catch {
+    return err(buildProblem('bad-request', 'not-run', 'The body is not JSON.'));
+  }
+  const checked = schema.safeParse(body);
+  if (checked.success) {
+    return ok(checked.data);
+  }
+  const issue = checked.error.issues[0]!;
+  const place = formatPath(issue.path);
+  const detail = place === '' ? issue.message : `${place}: ${issue.message}`;
+  return err(buildProblem('bad-request', 'not-run', detail));
+}
--- /dev/null
+++ b/packages/gateway/src/http/build-state-response.ts
@@ -0,0 +1,21 @@
+import type { JobReply } from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+import { buildProblemDocument } from '@guavaspindle/runtime/http/build-problem-document';
+import { buildProblemResponse } from '@guavaspindle/runtime/http/build-problem-response';
+import { buildSubmitResponse } from './build-submit-response';
+import { readProblem } from './read-problem';
+
+/** Builds the response for a question after a job's state. */
+export function buildStateResponse(reply: JobReply): Response {
+  const { jobId, result } = reply;
+  if (result.case === 'pending') {
+    return Response.json({ id: jobId, state: result.value.running ? 'running' : 'queued' });
+  }
+  if (result.case !== 'problem') {
+    return buildSubmitResponse(reply);
+  }
+  const problem = readProblem(result.value);
+  if (problem.code === 'unknown-job' || problem.code === 'answer-forgotten') {
+    return buildProblemResponse(problem);
+  }
+  return Response.json({ id: jobId, state: 'failed', problem: buildProblemDocument(problem) });
+}
--- /dev/null
+++ b/packages/gateway/src/routing/submission-router.ts
@@ -0,0 +1,241 @@
+import { Code, ConnectError, type Client } from '@connectrpc/connect';
+import { buildProblem } from '@guavaspindle/kernel/dispatch/build-problem';
+import type { Problem } from '@guavaspindle/kernel/outcome/problem';
+import { decodeTicket } from '@guavaspindle/kernel/submission/decode-ticket';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import { computeKeyDigest } from '@guavaspindle/platform/ledger/compute-key-digest';
+import { computePartition } from '@guavaspindle/platform/ledger/compute-partition';
+import type {
+  DispatcherService,
+  JobReply,
+  Member,
+} from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+import type { ClientPool } from '@guavaspindle/runtime/control/client-pool';
+import { err, ok, type Result } from 'neverthrow';
+import { buildUnreachableProblem } from './build-unreachable-problem';
+import type { DispatcherDirectory } from './dispatcher-directory';
+import type { Submission } from './submission';
+import type { TicketStock } from './ticket-stock';
+
+/** Added to a job's deadline for the answer to travel. */
+const REPLY_GRACE_MS = 1_000;
+const DEFAULT_DEADLINE_MS = 30_000;
+/** Pause before an owner that did not answer is asked again. */
+const RESEND_PAUSE_MS = 100;
+const CALL_TIMEOUT_MS = 2_000;
+
+/** What the router works with. */
+interface RouterParts {
+  readonly domain: string;
+  readonly directory: DispatcherDirectory;
+  readonly clients: ClientPool<typeof DispatcherService>;
+  readonly stock: TicketStock;
+  readonly clock: Clock;
+}
+
+/** Waits without blocking the loop. */
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Tells whether a refusal is about this dispatcher only, so that another may take the work. */
+function isLocalRefusal(reply: JobReply): boolean {
+  if (reply.result.case !== 'problem' || reply.result.value.outcome !== 'not-run') {
+    return false;
+  }
+  return ['draining', 'not-ready', 'over-limit', 'no-capacity'].includes(reply.result.value.code);
+}
+
+/**
+ * Finds the owner of each submission and relays to it. A submission goes to a second dispatcher
+ * only after the first one proved that it runs nothing of it.
+ */
+export class SubmissionRouter {
+  constructor(private readonly parts: RouterParts) {}
+
+  /** Submits and waits for the reply. */
+  async submitJob(submission: Submission): Promise<Result<JobReply, Problem>> {
+    const { identity } = submission;
+    switch (identity.type) {
+      case 'ticket':
+        return this.submitToOwner(submission, identity.ticket);
+      case 'key':
+        return this.submitUnderKey(submission, identity.key);
+      case 'none':
+        return this.submitToAny(submission);
+      default:
+        return identity satisfies never;
+    }
+  }
+
+  /** Asks a job's owner for its state. */
+  async getJob(jobId: string, caller: string): Promise<Result<JobReply, Problem>> {
+    return this.askOwner(jobId, (client) =>
+      client.getJob({ jobId, caller }, { timeoutMs: CALL_TIMEOUT_MS }),
+    );
+  }
+
+  /** Asks a job's owner to cancel it. */
+  async cancelJob(jobId: string, caller: string) {
+    return this.askOwner(jobId, (client) =>
+      client.cancelJob({ jobId, caller }, { timeoutMs: CALL_TIMEOUT_MS }),
+    );
+  }
+
+  /** Mints tickets for a caller at one of this failure domain's dispatchers. */
+  async mintTickets(caller: string, count: number): Promise<Result<string[], Problem>> {
+    const { directory, clients, domain } = this.parts;
+    const candidates = directory.listInTurn(domain);
+    for (const { address } of candidates) {
+      try {
+        // A lost answer only wastes numbers, so the next dispatcher may simply be asked.
+        // eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+        const reply = await clients
+          .getClient(address)
+          .mintTickets({ caller, count }, { timeoutMs: CALL_TIMEOUT_MS });
+        return ok(reply.tickets);
+      } catch {
+        // Falls through to the next dispatcher.
+      }
+    }
+    return err(SubmissionRouter.buildNoDispatcherProblem());
+  }
+
+  private async askOwner<Reply>(
+    jobId: string,
+    ask: (client: Client<typeof DispatcherService>) => Promise<Reply>,
+  ): Promise<Result<Reply, Problem>> {
+    const ticket = decodeTicket(jobId);
+    if (ticket === undefined) {
+      const detail = 'This is not the id of a job.';
+      return err(buildProblem('unknown-job', 'not-run', detail));
+    }
+    const owner = this.parts.directory.findOwner(ticket.incarnation);
+    if (owner === undefined) {
+      return err(buildUnreachableProblem());
+    }
+    try {
+      return ok(await ask(this.parts.clients.getClient(owner.address)));
+    } catch {
+      return err(buildUnreachableProblem());
+    }
+  }
+
+  /** Sends to the only owner, and again to it alone, until it answers or the deadline passes. */
+  private async submitToOwner(
+    submission: Submission,
+    ticket: string,
+  ): Promise<Result<JobReply, Problem>> {
+    const parts = decodeTicket(ticket);
+    if (parts === undefined) {
+      const detail = 'ticket: is not a ticket; ask for one with POST /v1/tickets.';
+      return err(buildProblem('ticket-invalid', 'not-run', detail));
+    }
+    const { clock, directory } = this.parts;
+    const giveUpAtMs = clock.now() + (submission.deadlineMs ?? DEFAULT_DEADLINE_MS);
+    for (;;) {
+      const owner = directory.findOwner(parts.incarnation);
+      if (owner === undefined) {
+        return err(buildUnreachableProblem());
+      }
+      // eslint-disable-next-line no-await-in-loop -- one try after the other, to the same owner
+      const reply = await this.sendSubmission(owner, submission, ticket, '');
+      if (reply !== undefined) {
+        return ok(reply);
+      }
+      if (clock.now() >= giveUpAtMs) {
+        return err(buildUnreachableProblem());
+      }
+      // eslint-disable-next-line no-await-in-loop -- lets the owner come back
+      await pause(RESEND_PAUSE_MS);
+    }
+  }
+
+  private async submitUnderKey(
+    submission: Submission,
+    key: string,
+  ): Promise<Result<JobReply, Problem>> {
+    const { directory, clients, domain } = this.parts;
+    const partition = computePartition(computeKeyDigest(submission.caller, key));
+    const candidates = directory.listForKey(submission.domain ?? domain, partition);
+    for (const candidate of candidates) {
+      // eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+      if (await clients.openConnection(candidate.address)) {
+        // eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+        const reply = await this.sendSubmission(candidate, submission, '', key);
+        if (reply === undefined) {
+          // The claim and the job may be under way there; the ledger knows the owner later.
+          return err(buildUnreachableProblem());
+        }
+        if (reply.result.case === 'ownedByJobId') {
+          return this.submitToOwner(submission, reply.result.value);
+        }
+        const isDraining =
+          reply.result.case === 'problem' && reply.result.value.code === 'draining';
+        if (!isDraining) {
+          return ok(reply);
+        }
+      }
+    }
+    return err({ ...SubmissionRouter.buildNoDispatcherProblem(), outcome: 'unknown' });
+  }
+
+  private async submitToAny(submission: Submission): Promise<Result<JobReply, Problem>> {
+    const { directory, clients, stock, domain } = this.parts;
+    const candidates = directory.listInTurn(submission.domain ?? domain);
+    let refusal: JobReply | undefined;
+    for (const candidate of candidates) {
+      const client = clients.getClient(candidate.address);
+      // eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+      const ticket = await stock.takeTicket(candidate.incarnation, client);
+      // eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+      if (ticket !== undefined && (await clients.openConnection(candidate.address))) {
+        // eslint-disable-next-line no-await-in-loop -- one dispatcher after the other
+        const sent = await this.submitToOwner(submission, ticket);
+        if (sent.isErr() || !isLocalRefusal(sent.value)) {
+          return sent;
+        }
+        refusal = sent.value;
+      }
+    }
+    return refusal === undefined ? err(SubmissionRouter.buildNoDispatcherProblem()) : ok(refusal);
+  }
+
+  /** Sends once; undefined if no answer came, so that anything may have happened. */
+  private async sendSubmission(
+    owner: Member,
+    submission: Submission,
+    ticket: string,
+    idempotencyKey: string,
+  ): Promise<JobReply | undefined> {
+    const timeoutMs = (submission.deadlineMs ?? DEFAULT_DEADLINE_MS) + REPLY_GRACE_MS;
+    try {
+      return await this.parts.clients.getClient(owner.address).submitJob(
+        {
+          ticket,
+          idempotencyKey,
+          caller: submission.caller,
+          kind: submission.kind,
+          bodyHash: submission.bodyHash,
+          deadlineMs: submission.deadlineMs ?? 0,
+          tasks: submission.tasks.map((task) => ({ ...task })),
+          idempotent: submission.idempotent,
+          wait: submission.wait,
+        },
+        { timeoutMs },
+      );
+    } catch (error) {
+      if (ConnectError.from(error).code === Code.Internal) {
+        throw error;
+      }
+      return undefined;
+    }
+  }
+
+  private static buildNoDispatcherProblem(): Problem {
+    const detail = 'No dispatcher of the failure domain can be reached.';
+    return buildProblem('no-capacity', 'not-run', detail, 1000);
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/dispatch/check-admission.ts
@@ -0,0 +1,81 @@
+import type { Problem } from '../outcome/problem';
+import type { ServerPool } from '../placement/server-pool';
+import type { Flow } from '../queue/flow';
+import type { Scheduler } from '../queue/scheduler';
+import type { JobSubmission } from '../submission/job-submission';
+import { buildProblem } from './build-problem';
+
+/** Shortest advice to come back, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 100;
+
+/** What an admission decision looks at. */
+interface AdmissionContext {
+  readonly submission: JobSubmission;
+  readonly flow: Flow;
+  readonly pool: ServerPool;
+  readonly scheduler: Scheduler;
+  readonly deadlineMs: number;
+}
+
+/** Refuses tasks that need more than any backend server has. */
+function checkDemands({ submission, pool }: AdmissionContext): Problem | undefined {
+  const index = submission.tasks.findIndex((task) => !pool.canEverFit(task.demand));
+  if (index < 0) {
+    return undefined;
+  }
+  return buildProblem(
+    'impossible-task',
+    'not-run',
+    `tasks[${index}].demand is larger than any backend server here; lower it.`,
+  );
+}
+
+/** Refuses work beyond the caller's limits. */
+function checkLimits({ submission, flow }: AdmissionContext): Problem | undefined {
+  if (flow.maxRunning === 0 || flow.bucket.isClosed()) {
+    return buildProblem(
+      'over-limit',
+      'not-run',
+      'This dispatcher holds no part of the limit for this caller and kind.',
+      MIN_RETRY_AFTER_MS,
+    );
+  }
+  if (flow.waiting + submission.tasks.length > flow.maxWaiting) {
+    return buildProblem(
+      'over-limit',
+      'not-run',
+      `The job would exceed maxQueued: ${flow.waiting} tasks wait and ${flow.maxWaiting} may.`,
+      Math.max(MIN_RETRY_AFTER_MS, flow.waitingWorkMs / flow.maxRunning),
+    );
+  }
+  return undefined;
+}
+
+/** Refuses work whose predicted wait already exceeds its deadline. */
+function checkWait(context: AdmissionContext): Problem | undefined {
+  const { flow, pool, scheduler, deadlineMs } = context;
+  const slots = pool.countSlots();
+  if (slots === 0) {
+    return buildProblem(
+      'no-capacity',
+      'not-run',
+      'No backend server of this failure domain can take work now.',
+      1000,
+    );
+  }
+  const waitMs = scheduler.predictWaitMs(flow, slots);
+  if (waitMs < deadlineMs) {
+    return undefined;
+  }
+  return buildProblem(
+    'no-capacity',
+    'not-run',
+    `The predicted wait of ${Math.ceil(waitMs)} ms exceeds the deadline of ${deadlineMs} ms.`,
+    Math.max(MIN_RETRY_AFTER_MS, waitMs - deadlineMs),
+  );
+}
+
+/** Decides whether new work is refused; undefined means that it may be accepted. */
+export function checkAdmission(context: AdmissionContext): Problem | undefined {
+  return checkDemands(context) ?? checkLimits(context) ?? checkWait(context);
+}
--- /dev/null
+++ b/packages/kernel/src/dispatch/dispatch-kernel.ts
@@ -0,0 +1,458 @@
+import type { AttemptId } from '../ids/attempt-id';
+import type { JobId } from '../ids/job-id';
+import type { AttemptOutcome } from '../outcome/attempt-outcome';
+import type { JobResult } from '../outcome/job-result';
+import type { Problem } from '../outcome/problem';
+import type { FleetView } from '../placement/fleet-view';
+import type { ServerAccount } from '../placement/server-account';
+import type { ServerInfo } from '../placement/server-info';
+import { ServerPool } from '../placement/server-pool';
+import { RetryBudget } from '../policy/retry-budget';
+import { RunTimeEstimator } from '../policy/run-time-estimator';
+import type { Flow } from '../queue/flow';
+import { MinHeap } from '../queue/min-heap';
+import { Scheduler } from '../queue/scheduler';
+import type { TaskPick } from '../queue/task-pick';
+import { buildJob } from '../submission/build-job';
+import { computeOutcome } from '../submission/compute-outcome';
+import { countStarted } from '../submission/count-started';
+import type { Job } from '../submission/job';
+import { JobStore } from '../submission/job-store';
+import type { JobSubmission } from '../submission/job-submission';
+import type { TaskState } from '../submission/task-state';
+import { findRow } from '../table/find-row';
+import { hasKind } from '../table/has-kind';
+import type { OperatorsTable } from '../table/operators-table';
+import type { TableRow } from '../table/table-row';
+import { buildProblem } from './build-problem';
+import { checkAdmission } from './check-admission';
+import type { KernelEffect } from './kernel-effect';
+import type { KernelOptions } from './kernel-options';
+import type { RunningAttempt } from './running-attempt';
+import { StopQueue } from './stop-queue';
+import type { SubmitDecision } from './submit-decision';
+
+/** A lease is never shorter, so that a server can still answer a start sent near the deadline. */
+const MIN_LEASE_MS = 50;
+
+/**
+ * Decides for one dispatcher what to start, where and when. It has no input or output of its own:
+ * each method takes the time and queues effects, which the caller fetches with `takeEffects`.
+ *
+ * A task of a submission is started by this incarnation or by nobody, and again only after proof
+ * that the attempt before did not run.
+ */
+export class DispatchKernel {
+  private readonly jobs: JobStore;
+
+  private readonly pool: ServerPool;
+
+  private readonly scheduler: Scheduler;
+
+  private readonly estimator = new RunTimeEstimator();
+
+  private readonly retryBudget = new RetryBudget();
+
+  private readonly attempts = new Map<AttemptId, RunningAttempt>();
+
+  private readonly deadlines = new MinHeap<Job>((job) => job.deadlineAtMs);
+
+  private readonly stops = new StopQueue();
+
+  private effects: KernelEffect[] = [];
+
+  private table: OperatorsTable | undefined;
+
+  private draining = false;
+
+  constructor(private readonly options: KernelOptions) {
+    this.jobs = new JobStore(options.retentionMs, options.maxAnswerBytes);
+    this.pool = new ServerPool(options.placementPolicy, options.fleet);
+    this.scheduler = new Scheduler(options.queuePolicy, options.domain, options.share);
+  }
+
+  /** Returns the effects queued since the last call. */
+  takeEffects(): KernelEffect[] {
+    const taken = this.effects;
+    this.effects = [];
+    return taken;
+  }
+
+  /** Adopts a table if its revision is higher than the one in force. */
+  adoptTable(table: OperatorsTable, nowMs: number): void {
+    if (this.table !== undefined && table.revision <= this.table.revision) {
+      return;
+    }
+    this.table = table;
+    this.scheduler.adoptTable(table);
+    this.recordEvent('table-adopted', undefined, { revision: table.revision });
+    this.startTasks(nowMs);
+  }
+
+  /** Adopts the instance list's backend servers. */
+  adoptServers(servers: readonly ServerInfo[], nowMs: number): void {
+    this.pool.adoptServers(servers);
+    this.startTasks(nowMs);
+  }
+
+  /** Adopts what the other dispatchers of the failure domain report. */
+  adoptFleet(fleet: FleetView, nowMs: number): void {
+    this.pool.adoptFleet(fleet);
+    this.startTasks(nowMs);
+  }
+
+  /** Notes a backend server's own word that it is leaving. */
+  markLeaving(account: ServerInfo): void {
+    const found = this.pool.findAccount(account.id);
+    if (found !== undefined && !found.isLeaving()) {
+      found.markLeaving();
+      this.recordEvent('server-leaving', undefined, { server: account.id });
+    }
+  }
+
+  /** Refuses new submissions from now on; accepted ones go on. */
+  beginDrain(): void {
+    this.draining = true;
+    this.recordEvent('drain-started', undefined, {});
+  }
+
+  /** Accepts, recognises or refuses a submission whose ticket has this number. */
+  submitJob(submission: JobSubmission, number: number, nowMs: number): SubmitDecision {
+    const known = this.findSubmitted(submission, number);
+    if (known !== undefined) {
+      return known;
+    }
+    const { table } = this;
+    if (this.draining || table === undefined) {
+      return this.refuseJob(
+        submission,
+        this.draining
+          ? buildProblem('draining', 'not-run', 'This dispatcher is shutting down.', 0)
+          : buildProblem('not-ready', 'not-run', 'No table has been adopted yet.', 200),
+      );
+    }
+    const row = findRow(table, submission.caller, submission.kind, this.options.domain);
+    if (row === undefined) {
+      return this.refuseJob(submission, DispatchKernel.buildNoRowProblem(table, submission));
+    }
+    return this.admitJob(submission, number, row, nowMs);
+  }
+
+  /** Finds a job for its own caller; undefined if unknown or forgotten. */
+  findJob(id: JobId): Job | undefined {
+    return this.jobs.findJob(id);
+  }
+
+  /** Tells whether a ticket of this number was accepted, also when its answer is forgotten. */
+  hasUsedTicket(number: number): boolean {
+    return this.jobs.hasUsed(number);
+  }
+
+  /** Ends a job: tasks that have not started never start. Returns how many had started. */
+  cancelJob(job: Job, nowMs: number): number {
+    const started = job.startedAtEnd ?? countStarted(job);
+    if (job.result === undefined) {
+      this.recordEvent('job-cancelled', job.id, { started });
+      this.failJob(job, nowMs, 'cancelled', `Cancelled after ${started} tasks had started.`);
+      this.startTasks(nowMs);
+    }
+    return started;
+  }
+
+  /** Takes an attempt's outcome. A second outcome of the same attempt is ignored. */
+  endAttempt(id: AttemptId, outcome: AttemptOutcome, nowMs: number): void {
+    const attempt = this.attempts.get(id);
+    if (attempt === undefined) {
+      return;
+    }
+    this.attempts.delete(id);
+    this.stops.dropStop(id);
+    this.releaseAttempt(attempt, outcome, nowMs);
+    if (attempt.job.result === undefined) {
+      this.applyOutcome(attempt, outcome, nowMs);
+    }
+    this.startTasks(nowMs);
+  }
+
+  /** Does what is due by time: deadlines, overruns, stops, forgetting and delayed starts. */
+  advanceTime(nowMs: number): void {
+    this.endOverdueJobs(nowMs);
+    this.reclassOverruns(nowMs);
+    this.jobs.forgetAnswers(nowMs);
+    this.stops.takeDueStops(nowMs).forEach((attempt) => {
+      this.effects.push({ type: 'stop', attempt: attempt.id, server: attempt.account.info });
+    });
+    this.startTasks(nowMs);
+  }
+
+  /** Jobs that have not ended. */
+  countOpenJobs(): number {
+    return this.jobs.countOpen();
+  }
+
+  /** Attempts whose outcome is open. */
+  countRunning(): number {
+    return this.attempts.size;
+  }
+
+  /** Estimated waiting work in milliseconds of slot time. */
+  computeBacklogMs(): number {
+    return this.scheduler.computeBacklogMs();
+  }
+
+  /** Slots in use by this dispatcher, by server. */
+  collectSlotUse(): ReturnType<ServerPool['collectUse']> {
+    return this.pool.collectUse();
+  }
+
+  /** Tells whether a table is in force and at least one server is known. */
+  isReady(): boolean {
+    return this.table !== undefined && !this.draining;
+  }
+
+  /** Revision of the table in force, 0 before the first. */
+  readRevision(): number {
+    return this.table?.revision ?? 0;
+  }
+
+  private findSubmitted(submission: JobSubmission, number: number): SubmitDecision | undefined {
+    const job = this.jobs.findJob(submission.jobId);
+    if (job !== undefined) {
+      const isSame = job.caller === submission.caller && job.bodyHash === submission.bodyHash;
+      return isSame
+        ? { type: 'existing', job }
+        : { type: 'refused', problem: DispatchKernel.buildMismatchProblem() };
+    }
+    if (!this.jobs.hasUsed(number)) {
+      return undefined;
+    }
+    const detail = 'This submission was accepted before and its answer is no longer kept.';
+    return { type: 'refused', problem: buildProblem('answer-forgotten', 'unknown', detail) };
+  }
+
+  private static buildMismatchProblem(): Problem {
+    const detail = 'The ticket or key was used with another body; use a new one.';
+    return buildProblem('body-mismatch', 'not-run', detail);
+  }
+
+  private static buildNoRowProblem(table: OperatorsTable, submission: JobSubmission): Problem {
+    return hasKind(table, submission.kind)
+      ? buildProblem('forbidden-kind', 'not-run', 'The table has no row for this caller and kind.')
+      : buildProblem('unknown-kind', 'not-run', 'The table does not name this kind.');
+  }
+
+  private refuseJob(submission: JobSubmission, problem: Problem): SubmitDecision {
+    this.recordEvent('submission-refused', submission.jobId, { code: problem.code });
+    return { type: 'refused', problem };
+  }
+
+  private admitJob(
+    submission: JobSubmission,
+    number: number,
+    row: TableRow,
+    nowMs: number,
+  ): SubmitDecision {
+    const deadlineMs = Math.min(submission.deadlineMs ?? row.deadlineMs, row.deadlineMs);
+    const { scheduler, pool } = this;
+    const flow = scheduler.getFlow(submission.caller, submission.kind, row);
+    const problem = checkAdmission({ submission, flow, pool, scheduler, deadlineMs });
+    if (problem !== undefined) {
+      return this.refuseJob(submission, problem);
+    }
+    const job = buildJob(submission, this.estimator, nowMs, deadlineMs);
+    this.jobs.addJob(job, number);
+    this.deadlines.pushItem(job);
+    scheduler.addJob(flow, job);
+    this.recordEvent('submission-accepted', job.id, { tasks: job.tasks.length });
+    this.startTasks(nowMs);
+    return { type: 'accepted', job };
+  }
+
+  private startTasks(nowMs: number): void {
+    const skipped = new Set<Flow>();
+    const slots = this.pool.countSlots();
+    while (this.pool.hasFreeSlot(nowMs)) {
+      const pick = this.scheduler.pickTask(nowMs, slots, skipped);
+      if (pick === undefined) {
+        return;
+      }
+      const account = this.pool.chooseServer(pick.task.input.demand, nowMs);
+      if (account === undefined) {
+        skipped.add(pick.flow);
+      } else {
+        this.startTask(pick, account, nowMs);
+      }
+    }
+  }
+
+  private startTask(pick: TaskPick, account: ServerAccount, nowMs: number): void {
+    const { job, task, flow, runClass } = pick;
+    this.scheduler.takeTask(pick, nowMs);
+    task.attempts += 1;
+    if (task.attempts === 1) {
+      this.retryBudget.recordFirstAttempt();
+    }
+    const id = `${task.id}/${task.attempts}` as AttemptId;
+    task.state = { type: 'started', attempt: id, server: account.info.id };
+    account.running += 1;
+    account.health.recordStart();
+    this.attempts.set(id, { id, job, task, flow, account, startedAtMs: nowMs, runClass });
+    const leaseMs = Math.max(MIN_LEASE_MS, job.deadlineAtMs - nowMs);
+    this.effects.push({ type: 'start', attempt: id, job, task, server: account.info, leaseMs });
+    this.recordEvent('task-started', job.id, { attempt: id, server: account.info.id });
+  }
+
+  private releaseAttempt(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
+    const { account, flow, job, task } = attempt;
+    const ranMs = outcome.type === 'not-run' ? 0 : nowMs - attempt.startedAtMs;
+    account.running -= 1;
+    this.scheduler.releaseStart(flow, attempt.runClass, task.estimateMs, ranMs);
+    switch (outcome.type) {
+      case 'answered':
+        account.health.recordSuccess();
+        this.estimator.recordRun(job.caller, job.kind, task.input.expectedMs, ranMs);
+        return;
+      case 'not-run':
+        account.health.recordNotRun();
+        account.pauseStarts(nowMs);
+        if (outcome.cause === 'never-sent') {
+          this.recordServerFailure(account, nowMs);
+        }
+        return;
+      case 'failed':
+      case 'unknown':
+        this.recordServerFailure(account, nowMs);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  private recordServerFailure(account: ServerAccount, nowMs: number): void {
+    if (this.pool.recordFailure(account, nowMs)) {
+      this.recordEvent('server-ejected', undefined, { server: account.info.id });
+    }
+  }
+
+  private applyOutcome(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
+    const { job, task, flow, id } = attempt;
+    switch (outcome.type) {
+      case 'answered':
+        task.state = { type: 'answered', answerJson: outcome.answerJson };
+        job.answered += 1;
+        this.recordEvent('task-answered', job.id, { attempt: id });
+        this.completeJob(job, nowMs);
+        return;
+      case 'not-run':
+        task.state = { type: 'waiting' };
+        this.scheduler.returnTask(flow, job, task, attempt.runClass);
+        this.recordEvent('task-not-run', job.id, { attempt: id, cause: outcome.cause });
+        return;
+      case 'failed':
+        this.recordEvent('task-failed', job.id, { attempt: id });
+        this.retryOrFail(attempt, { type: 'failed' }, outcome.detail, nowMs);
+        return;
+      case 'unknown':
+        this.recordEvent('task-unknown', job.id, { attempt: id, reason: outcome.detail });
+        this.retryOrFail(attempt, { type: 'unknown' }, outcome.detail, nowMs);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  /** Tries a single idempotent request again within the retry budget; anything else fails. */
+  private retryOrFail(
+    attempt: RunningAttempt,
+    state: Extract<TaskState, { type: 'failed' | 'unknown' }>,
+    detail: string,
+    nowMs: number,
+  ): void {
+    const { job, task, flow } = attempt;
+    task.mayHaveRun = true;
+    if (job.idempotent && this.retryBudget.takeRetry()) {
+      task.state = { type: 'waiting' };
+      this.scheduler.returnTask(flow, job, task, attempt.runClass);
+      return;
+    }
+    task.state = state;
+    const code = state.type === 'failed' ? 'task-failed' : 'outcome-unknown';
+    this.failJob(job, nowMs, code, `Task ${task.index}: ${detail}.`);
+  }
+
+  private completeJob(job: Job, nowMs: number): void {
+    if (job.answered < job.tasks.length) {
+      return;
+    }
+    const answersJson = job.tasks.map((task) => {
+      if (task.state.type !== 'answered') {
+        throw new Error(`Job ${job.id} counts more answers than it has.`);
+      }
+      return task.state.answerJson;
+    });
+    this.endJob(job, { type: 'complete', answersJson }, nowMs);
+  }
+
+  private failJob(
+    job: Job,
+    nowMs: number,
+    code: 'cancelled' | 'deadline-exceeded' | 'task-failed' | 'outcome-unknown',
+    detail: string,
+  ): void {
+    const problem = buildProblem(code, computeOutcome(job.tasks), detail);
+    this.scheduler.dropJob(job);
+    job.tasks.forEach((task) => {
+      const running =
+        task.state.type === 'started' ? this.attempts.get(task.state.attempt) : undefined;
+      if (running !== undefined) {
+        this.stops.addStop(running);
+      }
+    });
+    this.endJob(job, { type: 'problem', problem }, nowMs);
+  }
+
+  private endJob(job: Job, result: JobResult, nowMs: number): void {
+    job.startedAtEnd = countStarted(job);
+    job.result = result;
+    job.tasks = [];
+    this.jobs.endJob(job, nowMs);
+    const outcome = result.type === 'complete' ? 'complete' : result.problem.outcome;
+    this.recordEvent('job-ended', job.id, {
+      outcome,
+      tookMs: Math.round(nowMs - job.acceptedAtMs),
+    });
+    this.effects.push({ type: 'job-ended', job });
+  }
+
+  private endOverdueJobs(nowMs: number): void {
+    for (;;) {
+      const job = this.deadlines.peekItem();
+      if (job === undefined || (job.result === undefined && job.deadlineAtMs > nowMs)) {
+        return;
+      }
+      this.deadlines.popItem();
+      if (job.result === undefined) {
+        this.failJob(job, nowMs, 'deadline-exceeded', 'The deadline passed before all answers.');
+      }
+    }
+  }
+
+  private reclassOverruns(nowMs: number): void {
+    const thresholdMs = this.estimator.computeLongThresholdMs();
+    this.attempts.forEach((attempt) => {
+      if (attempt.runClass === 'short' && nowMs - attempt.startedAtMs >= thresholdMs) {
+        attempt.runClass = 'long';
+        this.scheduler.markLong();
+      }
+    });
+  }
+
+  private recordEvent(
+    type: Extract<KernelEffect, { type: 'record' }>['event']['type'],
+    jobId: JobId | undefined,
+    detail: Readonly<Record<string, string | number | boolean>>,
+  ): void {
+    const event = { type, detail, ...(jobId === undefined ? {} : { jobId }) };
+    this.effects.push({ type: 'record', event });
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/events/event-body.ts
@@ -0,0 +1,31 @@
+import type { JobId } from '../ids/job-id';
+
+/** What happened, as recorded in the time line. `detail` holds numbers and names only. */
+export interface EventBody {
+  readonly type: EventType;
+  readonly jobId?: JobId;
+  readonly detail: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Names of the recorded events. */
+type EventType =
+  | 'submission-received'
+  | 'submission-relayed'
+  | 'submission-accepted'
+  | 'submission-refused'
+  | 'key-claimed'
+  | 'task-started'
+  | 'task-not-run'
+  | 'task-answered'
+  | 'task-failed'
+  | 'task-unknown'
+  | 'job-ended'
+  | 'job-cancelled'
+  | 'server-ejected'
+  | 'server-leaving'
+  | 'table-adopted'
+  | 'member-joined'
+  | 'member-left'
+  | 'store-lost'
+  | 'store-reached'
+  | 'drain-started';
--- /dev/null
+++ b/packages/kernel/src/health/health-state.ts
@@ -0,0 +1,10 @@
+/** What is known of a backend server's health. */
+export type HealthState =
+  | { readonly type: 'healthy' }
+  | { readonly type: 'ejected'; readonly untilMs: number; readonly ejections: number }
+  | {
+      readonly type: 'probation';
+      readonly successesLeft: number;
+      readonly trialRunning: boolean;
+      readonly ejections: number;
+    };
--- /dev/null
+++ b/packages/kernel/src/health/server-health.ts
@@ -0,0 +1,137 @@
+import type { HealthState } from './health-state';
+
+/** Outcomes remembered per server. */
+const WINDOW = 8;
+/** Failures within the window that eject a server. */
+const FAILURES_TO_EJECT = 3;
+/** A server is ejected only when failures are at least this part of its window. */
+const MIN_FAILURE_RATE = 0.5;
+/** A server is ejected only when it fails at least this many times as often as the others. */
+const OUTLIER_FACTOR = 2;
+const FIRST_EJECTION_MS = 2_000;
+const MAX_EJECTION_MS = 60_000;
+const PROBATION_SUCCESSES = 3;
+
+/** Tracks one backend server's failures: ejection, then probation with one trial at a time. */
+export class ServerHealth {
+  private state: HealthState = { type: 'healthy' };
+
+  private recent: boolean[] = [];
+
+  /** Part of the remembered outcomes that failed, 0 to 1. */
+  computeFailureRate(): number {
+    if (this.recent.length === 0) {
+      return 0;
+    }
+    return this.recent.filter((failed) => failed).length / this.recent.length;
+  }
+
+  /** Tells whether the server may get a start now; ends an ejection whose time is over. */
+  canStart(nowMs: number): boolean {
+    const { state } = this;
+    switch (state.type) {
+      case 'healthy':
+        return true;
+      case 'ejected':
+        if (nowMs < state.untilMs) {
+          return false;
+        }
+        this.beginProbation(state.ejections);
+        return true;
+      case 'probation':
+        return !state.trialRunning;
+      default:
+        return state satisfies never;
+    }
+  }
+
+  /** Tells whether the server is ejected or on probation. */
+  isSuspect(): boolean {
+    return this.state.type !== 'healthy';
+  }
+
+  /** Notes that a start was sent. */
+  recordStart(): void {
+    if (this.state.type === 'probation') {
+      this.state = { ...this.state, trialRunning: true };
+    }
+  }
+
+  /** Notes that a start was proved not to have run; it says nothing about health. */
+  recordNotRun(): void {
+    if (this.state.type === 'probation') {
+      this.state = { ...this.state, trialRunning: false };
+    }
+  }
+
+  /** Notes a good answer. */
+  recordSuccess(): void {
+    this.rememberOutcome(false);
+    const { state } = this;
+    if (state.type !== 'probation') {
+      return;
+    }
+    const successesLeft = state.successesLeft - 1;
+    this.state =
+      successesLeft > 0 ? { ...state, successesLeft, trialRunning: false } : { type: 'healthy' };
+  }
+
+  /**
+   * Notes a failure or an unknown outcome and ejects the server if it stands out.
+   *
+   * @param othersFailureRate - mean failure rate of the other servers, 0 to 1
+   * @param canEject - false when too many servers are already ejected
+   * @returns true if this failure ejected the server
+   */
+  recordFailure(nowMs: number, othersFailureRate: number, canEject: boolean): boolean {
+    this.rememberOutcome(true);
+    const { state } = this;
+    switch (state.type) {
+      case 'ejected':
+        return false;
+      case 'probation':
+        this.ejectServer(nowMs, state.ejections + 1);
+        return true;
+      case 'healthy':
+        if (!canEject || !this.isOutlier(othersFailureRate)) {
+          return false;
+        }
+        this.ejectServer(nowMs, 1);
+        return true;
+      default:
+        return state satisfies never;
+    }
+  }
+
+  private isOutlier(othersFailureRate: number): boolean {
+    const failures = this.recent.filter((failed) => failed).length;
+    const rate = this.computeFailureRate();
+    return (
+      failures >= FAILURES_TO_EJECT &&
+      rate >= MIN_FAILURE_RATE &&
+      rate >= othersFailureRate * OUTLIER_FACTOR
+    );
+  }
+
+  private ejectServer(nowMs: number, ejections: number): void {
+    const durationMs = Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** (ejections - 1));
+    this.state = { type: 'ejected', untilMs: nowMs + durationMs, ejections };
+  }
+
+  private beginProbation(ejections: number): void {
+    this.recent = [];
+    this.state = {
+      type: 'probation',
+      successesLeft: PROBATION_SUCCESSES,
+      trialRunning: false,
+      ejections,
+    };
+  }
+
+  private rememberOutcome(failed: boolean): void {
+    this.recent.push(failed);
+    if (this.recent.length > WINDOW) {
+      this.recent.shift();
+    }
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/ids/attempt-id.ts
@@ -0,0 +1,4 @@
+import type { Brand } from '../brand';
+
+/** An attempt's id: the task's id, a slash and the attempt's number, from 1. */
+export type AttemptId = Brand<string, 'AttemptId'>;
--- /dev/null
+++ b/packages/kernel/src/outcome/not-run.ts
@@ -0,0 +1,41 @@
+import { err, ok, type Result } from 'neverthrow';
+import type { AttemptId } from '../ids/attempt-id';
+
+/**
+ * Proof that an attempt did not start. The constructor is private: an instance exists only where
+ * one of the `prove` functions held, so no other code can claim that work was not done.
+ */
+export class NotRun {
+  readonly type = 'not-run';
+
+  private constructor(
+    readonly cause: 'never-sent' | 'refused-by-server',
+    readonly detail: string,
+  ) {}
+
+  /** No byte of the start left this process, for example because the connection was refused. */
+  static proveNeverSent(detail: string): NotRun {
+    return new NotRun('never-sent', detail);
+  }
+
+  /**
+   * The backend server refused this very attempt.
+   *
+   * @param sent - the attempt that was sent
+   * @param body - the parsed body of the server's 429 or 503 answer
+   * @returns the proof, or the reason why the body proves nothing
+   */
+  static proveRefusedByServer(sent: AttemptId, body: unknown): Result<NotRun, string> {
+    if (typeof body !== 'object' || body === null) {
+      return err('the refusal has no JSON object');
+    }
+    const refusal = body as { attempt?: unknown; notRun?: unknown };
+    if (refusal.notRun !== true) {
+      return err('the refusal does not say notRun');
+    }
+    if (refusal.attempt !== sent) {
+      return err('the refusal names another attempt');
+    }
+    return ok(new NotRun('refused-by-server', 'the backend server refused the start'));
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/outcome/problem-code.ts
@@ -0,0 +1,23 @@
+/** Names of every refusal and failure that a caller can see. */
+export type ProblemCode =
+  | 'unauthenticated'
+  | 'forbidden-kind'
+  | 'unknown-kind'
+  | 'unknown-job'
+  | 'bad-request'
+  | 'too-large'
+  | 'body-mismatch'
+  | 'ticket-invalid'
+  | 'over-limit'
+  | 'no-capacity'
+  | 'impossible-task'
+  | 'draining'
+  | 'not-ready'
+  | 'store-unavailable'
+  | 'owner-unreachable'
+  | 'deadline-exceeded'
+  | 'cancelled'
+  | 'task-failed'
+  | 'outcome-unknown'
+  | 'answer-forgotten'
+  | 'internal';
--- /dev/null
+++ b/packages/kernel/src/placement/fleet-view.ts
@@ -0,0 +1,8 @@
+import type { IncarnationId } from '../ids/incarnation-id';
+import type { PeerInfo } from './peer-info';
+
+/** What a placement policy knows of the dispatchers of its failure domain. */
+export interface FleetView {
+  readonly self: IncarnationId;
+  readonly peers: readonly PeerInfo[];
+}
--- /dev/null
+++ b/packages/kernel/src/placement/placement-policy.ts
@@ -0,0 +1,11 @@
+import type { FleetView } from './fleet-view';
+import type { ServerAccount } from './server-account';
+import type { ServerInfo } from './server-info';
+
+/** Decides which slots a dispatcher may use and which server gets the next start. */
+export interface PlacementPolicy {
+  /** Slots of the server that this dispatcher may fill, given what its peers report. */
+  computeAllowance(server: ServerInfo, fleet: FleetView): number;
+  /** Chooses one of the servers that can take a start; the list is not empty. */
+  chooseServer(usable: readonly ServerAccount[]): ServerAccount;
+}
--- /dev/null
+++ b/packages/kernel/src/placement/random-placement.ts
@@ -0,0 +1,20 @@
+import { placementPolicies } from './placement-policies';
+import type { PlacementPolicy } from './placement-policy';
+import type { ServerAccount } from './server-account';
+import type { ServerInfo } from './server-info';
+
+/** Baseline for experiments: any server that this dispatcher itself has not filled, at random. */
+class RandomPlacement implements PlacementPolicy {
+  constructor(private readonly random: () => number) {}
+
+  // eslint-disable-next-line class-methods-use-this -- part of the policy interface
+  computeAllowance(server: ServerInfo): number {
+    return server.slots;
+  }
+
+  chooseServer(usable: readonly ServerAccount[]): ServerAccount {
+    return usable[Math.floor(this.random() * usable.length)]!;
+  }
+}
+
+placementPolicies.registerPlugin('random', (random) => new RandomPlacement(random));
--- /dev/null
+++ b/packages/kernel/src/plugin-registry.ts
@@ -0,0 +1,24 @@
+/** Named factories of one interface. Plug-in modules register themselves when imported. */
+export class PluginRegistry<Factory> {
+  private readonly factories = new Map<string, Factory>();
+
+  constructor(private readonly what: string) {}
+
+  /** Registers a plug-in under a name that must be free. */
+  registerPlugin(name: string, factory: Factory): void {
+    if (this.factories.has(name)) {
+      throw new Error(`The ${this.what} "${name}" is registered twice.`);
+    }
+    this.factories.set(name, factory);
+  }
+
+  /** Finds a plug-in's factory. */
+  findPlugin(name: string): Factory | undefined {
+    return this.factories.get(name);
+  }
+
+  /** Names of all registered plug-ins, for messages and help. */
+  listNames(): string[] {
+    return [...this.factories.keys()].sort();
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/submission/build-job.ts
@@ -0,0 +1,55 @@
+import type { RunTimeEstimator } from '../policy/run-time-estimator';
+import type { TaskId } from '../ids/task-id';
+import type { Job } from './job';
+import type { JobSubmission } from './job-submission';
+import type { Task } from './task';
+
+/** Builds the tasks of a job with their estimated run times. */
+function buildTasks(submission: JobSubmission, estimator: RunTimeEstimator): Task[] {
+  const { caller, kind, jobId } = submission;
+  return submission.tasks.map((input, index) => ({
+    id: `${jobId}/${index}` as TaskId,
+    index,
+    input,
+    state: { type: 'waiting' },
+    attempts: 0,
+    mayHaveRun: false,
+    estimateMs: estimator.estimateMs(caller, kind, input.expectedMs),
+  }));
+}
+
+/** Lists the indices of tasks for which the test holds, the first task last. */
+function listIndices(tasks: readonly Task[], test: (task: Task) => boolean): number[] {
+  return tasks
+    .filter(test)
+    .map((task) => task.index)
+    .reverse();
+}
+
+/** Builds a job, all of whose tasks wait, from a checked submission. */
+export function buildJob(
+  submission: JobSubmission,
+  estimator: RunTimeEstimator,
+  nowMs: number,
+  deadlineMs: number,
+): Job {
+  const tasks = buildTasks(submission, estimator);
+  const longThresholdMs = estimator.computeLongThresholdMs();
+  return {
+    id: submission.jobId,
+    caller: submission.caller,
+    kind: submission.kind,
+    bodyHash: submission.bodyHash,
+    idempotent: submission.idempotent,
+    acceptedAtMs: nowMs,
+    deadlineAtMs: nowMs + deadlineMs,
+    tasks,
+    waitingShort: listIndices(tasks, (task) => task.estimateMs < longThresholdMs),
+    waitingLong: listIndices(tasks, (task) => task.estimateMs >= longThresholdMs),
+    answered: 0,
+    startedAtEnd: undefined,
+    waitingWorkMs: tasks.reduce((sum, task) => sum + task.estimateMs, 0),
+    orderKey: 0,
+    result: undefined,
+  };
+}
--- /dev/null
+++ b/packages/kernel/src/submission/number-set.ts
@@ -0,0 +1,30 @@
+const BITS_PER_CHUNK = 65_536;
+
+/** A compact set of small integers: one bit each, in chunks made when first needed. */
+export class NumberSet {
+  private readonly chunks = new Map<number, Uint8Array>();
+
+  /** Adds a number that is zero or more. */
+  addNumber(value: number): void {
+    const key = Math.floor(value / BITS_PER_CHUNK);
+    let chunk = this.chunks.get(key);
+    if (chunk === undefined) {
+      chunk = new Uint8Array(BITS_PER_CHUNK / 8);
+      this.chunks.set(key, chunk);
+    }
+    const bit = value % BITS_PER_CHUNK;
+    if (!this.hasNumber(value)) {
+      chunk[Math.floor(bit / 8)]! += 2 ** (bit % 8);
+    }
+  }
+
+  /** Tells whether the number was added. */
+  hasNumber(value: number): boolean {
+    const chunk = this.chunks.get(Math.floor(value / BITS_PER_CHUNK));
+    if (chunk === undefined) {
+      return false;
+    }
+    const bit = value % BITS_PER_CHUNK;
+    return Math.floor(chunk[Math.floor(bit / 8)]! / 2 ** (bit % 8)) % 2 === 1;
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/submission/ticket-mint.ts
@@ -0,0 +1,56 @@
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import type { CallerName } from '../ids/caller-name';
+import type { DomainName } from '../ids/domain-name';
+import type { IncarnationId } from '../ids/incarnation-id';
+import type { JobId } from '../ids/job-id';
+import { decodeTicket } from './decode-ticket';
+
+const MAC_HEX_LENGTH = 24;
+const NUMBER_RADIX = 36;
+
+/** Tickets for gateways carry no caller: the caller is bound when the ticket is first used. */
+const NO_CALLER = '';
+
+/** Mints and checks the tickets of one dispatcher incarnation. */
+export class TicketMint {
+  private nextNumber = 0;
+
+  /**
+   * @param secret - known to this incarnation only; makes tickets unforgeable
+   */
+  constructor(
+    private readonly domain: DomainName,
+    private readonly incarnation: IncarnationId,
+    private readonly secret: Buffer,
+  ) {}
+
+  /** Mints a ticket for a caller, or for any caller when none is given. */
+  mintTicket(caller?: CallerName): JobId {
+    const number = this.nextNumber;
+    this.nextNumber += 1;
+    const mac = this.computeMac(number, caller ?? NO_CALLER);
+    return `t1.${this.domain}.${this.incarnation}.${number.toString(NUMBER_RADIX)}.${mac}` as JobId;
+  }
+
+  /** Checks that this incarnation minted the ticket for this caller; returns its number. */
+  findNumber(ticket: JobId, caller: CallerName): number | undefined {
+    const parts = decodeTicket(ticket);
+    if (parts?.incarnation !== this.incarnation) {
+      return undefined;
+    }
+    if (parts.number >= this.nextNumber) {
+      return undefined;
+    }
+    const isValid = [caller, NO_CALLER].some((bound) =>
+      timingSafeEqual(Buffer.from(parts.mac), Buffer.from(this.computeMac(parts.number, bound))),
+    );
+    return isValid ? parts.number : undefined;
+  }
+
+  private computeMac(number: number, caller: string): string {
+    return createHmac('sha256', this.secret)
+      .update(`${number}:${caller}`)
+      .digest('hex')
+      .slice(0, MAC_HEX_LENGTH);
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/time/system-clock.ts
@@ -0,0 +1,7 @@
+import type { Clock } from './clock';
+
+/** The machine's own clocks. */
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+};
--- /dev/null
+++ b/packages/platform/src/instances/instance-list-sources.ts
@@ -0,0 +1,8 @@
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import { PluginRegistry } from '@guavaspindle/kernel/plugin-registry';
+import type { InstanceList } from './instance-list';
+
+/** The registered sources of the instance list; a factory takes its host:port and a domain. */
+export const instanceListSources = new PluginRegistry<
+  (address: string, domain: DomainName) => InstanceList
+>('instance list source');
--- /dev/null
+++ b/packages/platform/src/instances/server-listing.ts
@@ -0,0 +1,7 @@
+import type { ServerInfo } from '@guavaspindle/kernel/placement/server-info';
+
+/** The backend servers of a failure domain at one index of the instance list. */
+export interface ServerListing {
+  readonly index: number;
+  readonly servers: readonly ServerInfo[];
+}
--- /dev/null
+++ b/packages/platform/src/ledger/ledger-partition.ts
@@ -0,0 +1,192 @@
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import type { KeyValueStore } from '../store/key-value-store';
+import type { ClaimResult } from './claim-result';
+import type { LedgerClaim } from './ledger-claim';
+
+/** A partition takes claims up to this size; the store holds values up to a megabyte. */
+const MAX_PARTITION_BYTES = 900_000;
+/** A claim is refused when the store could not settle it in this time. */
+const CLAIM_TIMEOUT_MS = 2_000;
+const RETRY_PAUSE_MS = 50;
+
+/** A claim waiting to be settled. */
+interface PendingClaim {
+  readonly claim: LedgerClaim;
+  readonly giveUpAtMs: number;
+  readonly resolve: (result: ClaimResult) => void;
+}
+
+/** The partition as last read. */
+interface PartitionView {
+  readonly claims: readonly LedgerClaim[];
+  readonly modifyIndex: number;
+}
+
+/** Reads a partition's text; undefined if something else has been written there. */
+function parseClaims(text: string): LedgerClaim[] | undefined {
+  try {
+    const claims: unknown = JSON.parse(text);
+    return Array.isArray(claims) ? (claims as LedgerClaim[]) : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Waits without blocking the loop. */
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/**
+ * One partition of the ledger. Claims that arrive while a write is under way are written together
+ * by the next one (group commit), so the store's load grows with time and not with submissions.
+ *
+ * Whether a write whose answer was lost took effect is settled by reading back: the claim's job id
+ * is unique, so finding it proves that the write landed.
+ */
+export class LedgerPartition {
+  private pending: PendingClaim[] = [];
+
+  private isWorking = false;
+
+  constructor(
+    private readonly storeKey: string,
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+    private readonly retentionMs: number,
+  ) {}
+
+  /** Claims a key; resolves when the store has settled it, or could not in time. */
+  claimKey(claim: LedgerClaim): Promise<ClaimResult> {
+    return new Promise((resolve) => {
+      const giveUpAtMs = this.clock.now() + CLAIM_TIMEOUT_MS;
+      this.pending.push({ claim, giveUpAtMs, resolve });
+      if (!this.isWorking) {
+        this.isWorking = true;
+        // Only a broken invariant can reject here, and that has to stop the process.
+        void this.settlePending();
+      }
+    });
+  }
+
+  private async settlePending(): Promise<void> {
+    while (this.pending.length > 0) {
+      // One read and one write settle everything that waits; then the next batch has its turn.
+      // eslint-disable-next-line no-await-in-loop -- batches are written one after the other
+      const isSettled = await this.settleBatch();
+      if (!isSettled) {
+        this.refuseOverdue();
+        // eslint-disable-next-line no-await-in-loop -- lets a failing store rest
+        await pause(RETRY_PAUSE_MS);
+      }
+    }
+    this.isWorking = false;
+  }
+
+  /** Returns false if the store could not be asked. */
+  private async settleBatch(): Promise<boolean> {
+    const read = await this.readView();
+    if (read === undefined) {
+      return false;
+    }
+    const view = this.answerFromView(read);
+    const batch = [...this.pending];
+    if (batch.length === 0) {
+      return true;
+    }
+    const text = JSON.stringify([...view.claims, ...batch.map((pending) => pending.claim)]);
+    const written = await this.store.compareAndSet(this.storeKey, text, view.modifyIndex);
+    if (written.isErr()) {
+      return false;
+    }
+    if (written.value) {
+      this.resolveClaims(batch, { type: 'claimed' });
+    }
+    return true;
+  }
+
+  private async readView(): Promise<PartitionView | undefined> {
+    const read = await this.store.readValue(this.storeKey);
+    if (read.isErr()) {
+      return undefined;
+    }
+    if (read.value === undefined) {
+      return { claims: [], modifyIndex: 0 };
+    }
+    const oldestMs = this.clock.wall() - this.retentionMs;
+    const claims = parseClaims(read.value.text);
+    if (claims === undefined) {
+      return undefined;
+    }
+    return {
+      claims: claims.filter((claim) => claim.claimedAtMs >= oldestMs),
+      modifyIndex: read.value.modifyIndex,
+    };
+  }
+
+  /** Answers claims that the view settles: landed, taken, repeated in the batch, or no room. */
+  private answerFromView(view: PartitionView): PartitionView {
+    const byKey = new Map(view.claims.map((claim) => [claim.key, claim]));
+    let bytes = JSON.stringify(view.claims).length;
+    [...this.pending].forEach((pending) => {
+      const { claim } = pending;
+      const earlier = byKey.get(claim.key);
+      if (earlier !== undefined) {
+        const isOwn = earlier.jobId === claim.jobId;
+        this.resolveClaims(
+          [pending],
+          isOwn ? { type: 'claimed' } : { type: 'taken', claim: earlier },
+        );
+        return;
+      }
+      bytes += JSON.stringify(claim).length + 1;
+      if (bytes > MAX_PARTITION_BYTES) {
+        this.resolveClaims([pending], { type: 'full' });
+      }
+    });
+    this.joinRepeated();
+    return view;
+  }
+
+  /** Answers a key that stands twice in the batch once its first claim is settled. */
+  private joinRepeated(): void {
+    const first = new Map<string, PendingClaim>();
+    const kept: PendingClaim[] = [];
+    this.pending.forEach((pending) => {
+      const earlier = first.get(pending.claim.key);
+      if (earlier === undefined) {
+        first.set(pending.claim.key, pending);
+        kept.push(pending);
+        return;
+      }
+      kept[kept.indexOf(earlier)] = {
+        ...earlier,
+        resolve: (result) => {
+          earlier.resolve(result);
+          pending.resolve(
+            result.type === 'claimed' ? { type: 'taken', claim: earlier.claim } : result,
+          );
+        },
+      };
+      first.set(
+        pending.claim.key,
+        kept.find((other) => other.claim === earlier.claim)!,
+      );
+    });
+    this.pending = kept;
+  }
+
+  private refuseOverdue(): void {
+    const nowMs = this.clock.now();
+    const overdue = this.pending.filter((pending) => pending.giveUpAtMs <= nowMs);
+    this.resolveClaims(overdue, { type: 'refused', detail: 'the store does not answer' });
+  }
+
+  private resolveClaims(settled: readonly PendingClaim[], result: ClaimResult): void {
+    const done = new Set(settled.map((pending) => pending.claim.jobId));
+    this.pending = this.pending.filter((pending) => !done.has(pending.claim.jobId));
+    settled.forEach((pending) => pending.resolve(result));
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/events/build-process-service.ts
@@ -0,0 +1,29 @@
+import type { ServiceImpl } from '@connectrpc/connect';
+import type { EventRing } from '@guavaspindle/kernel/events/event-ring';
+import type { ProcessService } from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+
+/** Builds the service by which the agent reads events and starts a graceful shutdown. */
+export function buildProcessService(
+  ring: EventRing,
+  beginShutdown: () => void,
+): ServiceImpl<typeof ProcessService> {
+  return {
+    readEvents(request) {
+      const jobId = request.jobId === '' ? undefined : request.jobId;
+      const events = ring.readEvents(request.sinceMs, jobId).map((event) => ({
+        wallMs: event.stamp.wallMs,
+        logical: event.stamp.logical,
+        process: event.process,
+        type: event.body.type,
+        jobId: event.body.jobId ?? '',
+        detailJson: JSON.stringify(event.body.detail),
+      }));
+      return { events };
+    },
+    drain() {
+      // Leaves time for this very call to be answered.
+      setTimeout(beginShutdown, 50);
+      return {};
+    },
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/events/build-stamp-interceptor.ts
@@ -0,0 +1,38 @@
+import type { Interceptor } from '@connectrpc/connect';
+import type { EventStamp } from '@guavaspindle/kernel/events/event-stamp';
+import type { HybridClock } from '@guavaspindle/kernel/events/hybrid-clock';
+
+const STAMP_HEADER = 'x-event-stamp';
+const STAMP_PATTERN = /^(\d{1,15})\.(\d{1,9})$/;
+
+/** Reads the stamp from message headers; undefined if there is none. */
+function readStamp(headers: Headers): EventStamp | undefined {
+  const match = STAMP_PATTERN.exec(headers.get(STAMP_HEADER) ?? '');
+  return match === null ? undefined : { wallMs: Number(match[1]), logical: Number(match[2]) };
+}
+
+/** Builds the interceptor that carries time-line stamps with each call, on either side of it. */
+export function buildStampInterceptor(clock: HybridClock, side: 'client' | 'server'): Interceptor {
+  const sendStamp = (headers: Headers) => {
+    const stamp = clock.createStamp();
+    headers.set(STAMP_HEADER, `${stamp.wallMs}.${stamp.logical}`);
+  };
+  const observeStamp = (headers: Headers) => {
+    const stamp = readStamp(headers);
+    if (stamp !== undefined) {
+      clock.observeStamp(stamp);
+    }
+  };
+  return (next) => async (request) => {
+    if (side === 'client') {
+      sendStamp(request.header);
+      const response = await next(request);
+      observeStamp(response.header);
+      return response;
+    }
+    observeStamp(request.header);
+    const response = await next(request);
+    sendStamp(response.header);
+    return response;
+  };
+}
--- /dev/null
+++ b/packages/runtime/src/process/process-context.ts
@@ -0,0 +1,17 @@
+import type Logger from 'bunyan';
+import type { StatsD } from 'hot-shots';
+import type { Interceptor } from '@connectrpc/connect';
+import type { EventRing } from '@guavaspindle/kernel/events/event-ring';
+import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+
+/** What every process of the system has. */
+export interface ProcessContext {
+  readonly incarnation: IncarnationId;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: StatsD;
+  readonly ring: EventRing;
+  readonly clientInterceptors: Interceptor[];
+  readonly serverInterceptors: Interceptor[];
+}
--- /dev/null
+++ b/packages/runtime/src/settings/parse-address.ts
@@ -0,0 +1,13 @@
+import { isIPv4 } from 'node:net';
+
+const MAX_PORT = 65_535;
+
+/** Checks an IP number and port such as 127.0.0.1:8080; returns the text or undefined. */
+export function parseAddress(text: string): string | undefined {
+  const [host, port, ...rest] = text.split(':');
+  if (host === undefined || port === undefined || rest.length > 0) {
+    return undefined;
+  }
+  const isPort = /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= MAX_PORT;
+  return isIPv4(host) && isPort ? text : undefined;
+}
--- /dev/null
+++ b/packages/stand-ins/src/backend/backend-stand-in.ts
@@ -0,0 +1,200 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { z } from 'zod';
+import { readBody } from '../http/read-body';
+import { sendJson } from '../http/send-json';
+import { StandInServer } from '../http/stand-in-server';
+import { backendFaultsSchema } from './backend-faults';
+import type { TaskStart } from './task-start';
+
+const MAX_CONNECTIONS = 64;
+const USAGE_LAG_MS = 1_000;
+/** Starts listed for witnesses; older ones are dropped to bound memory in long load runs. */
+const MAX_STARTS = 2_000_000;
+
+const runSchema = z.object({
+  attempt: z.string(),
+  task: z.string(),
+  kind: z.string(),
+  payload: z.unknown(),
+  leaseMs: z.number(),
+});
+
+const payloadSchema = z
+  .object({ runMs: z.number().default(0), echo: z.unknown(), fail: z.boolean().default(false) })
+  .catch({ runMs: 0, echo: null, fail: false });
+
+/** A task that holds a slot. */
+interface RunningTask {
+  end(isStopped: boolean): void;
+}
+
+/** A backend server with slots that runs tasks by waiting. */
+export class BackendStandIn {
+  private readonly server = new StandInServer((request, response) =>
+    this.handleRequest(request, response),
+  );
+
+  private readonly running = new Map<string, RunningTask>();
+
+  private readonly starts: TaskStart[] = [];
+
+  private readonly silentSockets = new WeakSet<Socket>();
+
+  private faults = backendFaultsSchema.parse({});
+
+  private laggedRunning = 0;
+
+  private refusals = 0;
+
+  private readonly usageTimer: NodeJS.Timeout;
+
+  /**
+   * @param slots - tasks run at once
+   * @param keepStarts - false in load runs that need no witness
+   */
+  constructor(
+    private readonly slots: number,
+    private readonly keepStarts = true,
+  ) {
+    this.usageTimer = setInterval(() => {
+      this.laggedRunning = this.running.size;
+    }, USAGE_LAG_MS);
+    this.usageTimer.unref();
+  }
+
+  /** Opens the port and returns host:port. */
+  async listen(host: string, port: number): Promise<string> {
+    return this.server.listen(host, port);
+  }
+
+  /** Sets the faults; those not given are off. */
+  setFaults(faults: z.input<typeof backendFaultsSchema>): void {
+    this.faults = backendFaultsSchema.parse(faults);
+    if (this.faults.silent) {
+      this.server.sockets.forEach((socket) => this.silentSockets.add(socket));
+    }
+  }
+
+  /** Lists every start so far. */
+  listStarts(): readonly TaskStart[] {
+    return this.starts;
+  }
+
+  /** Cuts everything and closes. */
+  async close(): Promise<void> {
+    clearInterval(this.usageTimer);
+    this.running.forEach((task) => task.end(true));
+    await this.server.close();
+  }
+
+  private async handleRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.server.sockets.size > MAX_CONNECTIONS) {
+      request.socket.destroy();
+      return;
+    }
+    const text = await readBody(request);
+    if (this.silentSockets.has(request.socket)) {
+      return;
+    }
+    const route = `${request.method} ${request.url?.split('?')[0]}`;
+    if (route === 'POST /v1/run') {
+      this.runTask(text, response);
+    } else if (route === 'GET /v1/usage') {
+      sendJson(response, 200, { slots: this.slots, running: this.laggedRunning });
+    } else if (route.startsWith('POST /v1/attempts/') && route.endsWith('/stop')) {
+      this.stopAttempt(route.slice('POST /v1/attempts/'.length, -'/stop'.length), response);
+    } else {
+      this.handleControl(route, text, response);
+    }
+  }
+
+  private handleControl(route: string, text: string, response: ServerResponse): void {
+    if (route === 'GET /stand-in/starts') {
+      sendJson(response, 200, this.starts);
+    } else if (route === 'GET /stand-in/counts') {
+      sendJson(response, 200, { starts: this.starts.length, refusals: this.refusals });
+    } else if (route === 'POST /stand-in/faults') {
+      this.setFaults(JSON.parse(text) as z.input<typeof backendFaultsSchema>);
+      sendJson(response, 200, this.faults);
+    } else {
+      sendJson(response, 404, { error: `no route ${route}` });
+    }
+  }
+
+  private stopAttempt(encoded: string, response: ServerResponse): void {
+    const task = this.running.get(decodeURIComponent(encoded));
+    task?.end(true);
+    sendJson(response, 202, { stopped: task !== undefined });
+  }
+
+  private runTask(text: string, response: ServerResponse): void {
+    const parsed = runSchema.safeParse(JSON.parse(text));
+    if (!parsed.success) {
+      sendJson(response, 400, { error: parsed.error.message });
+      return;
+    }
+    const { attempt, task, kind, payload } = parsed.data;
+    if (this.faults.bareRefusals) {
+      response.writeHead(503).end();
+      return;
+    }
+    if (this.running.size >= this.slots) {
+      this.refusals += 1;
+      sendJson(response, 429, { attempt, notRun: true });
+      return;
+    }
+    if (this.keepStarts && this.starts.length < MAX_STARTS) {
+      this.starts.push({ task, attempt, kind, startedAtMs: Date.now(), payload });
+    }
+    this.holdSlot(attempt, payloadSchema.parse(payload), response);
+  }
+
+  private holdSlot(
+    attempt: string,
+    payload: z.infer<typeof payloadSchema>,
+    response: ServerResponse,
+  ): void {
+    const isFailing = this.faults.failAll || payload.fail;
+    const runMs = this.faults.failAll ? 0 : payload.runMs + this.faults.stallMs;
+    const end = (isStopped: boolean) => {
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set before any end
+      clearTimeout(timer);
+      this.running.delete(attempt);
+      this.answerTask(attempt, payload.echo ?? null, isFailing || isStopped, response);
+    };
+    const timer = setTimeout(() => end(false), runMs);
+    this.running.set(attempt, { end });
+  }
+
+  private answerTask(
+    attempt: string,
+    echo: unknown,
+    isFailed: boolean,
+    response: ServerResponse,
+  ): void {
+    const { faults } = this;
+    const { socket } = response;
+    if (socket === null || this.silentSockets.has(socket)) {
+      return;
+    }
+    if (faults.dropAnswers) {
+      socket.destroy();
+      return;
+    }
+    const headers: Record<string, string> = faults.leaving
+      ? { connection: 'close', 'x-leaving': 'true' }
+      : {};
+    const echoed = faults.wrongAttempt ? `${attempt}0` : attempt;
+    if (faults.truncate) {
+      response.writeHead(200, { 'content-type': 'application/json', 'content-length': '1000' });
+      response.write(`{"attempt":"${attempt}","answer":{"ec`, () => socket.destroy());
+      return;
+    }
+    if (isFailed) {
+      sendJson(response, 500, { attempt: echoed, error: 'the task failed' }, headers);
+      return;
+    }
+    sendJson(response, 200, { attempt: echoed, answer: { echo } }, headers);
+  }
+}
