--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -54,7 +54,11 @@
     rules: {
       'local/one-export': 'error',
       'local/no-unhandled-result': 'error',
-      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap'] }],
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/naming-convention': [
         'error',
@@ -91,4 +95,8 @@
     },
   },
   ...dependencyRules,
+  {
+    files: ['packages/*/tests/**/*.ts'],
+    rules: { 'class-methods-use-this': 'off' },
+  },
 ];
--- a/packages/agent/src/build-agent.ts
+++ b/packages/agent/src/build-agent.ts
@@ -73,7 +73,7 @@
   const { host, port } = splitAddress(agent.listen);
   server.listen(port, host);
   await once(server, 'listening');
-  const reader = new StoreReader({ store, instances, membership, table, servers, log });
+  const reader = new StoreReader({ clock, store, instances, membership, table, servers, log });
   const { peers, remotePeers } = agent;
   const exchange = new PeerExchange({
     context,
--- a/packages/agent/src/store-readers/store-reader.ts
+++ b/packages/agent/src/store-readers/store-reader.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { InstanceList } from '@guavaspindle/platform/instances/instance-list';
 import type { KeyValueStore } from '@guavaspindle/platform/store/key-value-store';
 import type Logger from 'bunyan';
@@ -15,6 +16,7 @@
 
 /** What the reader works with. */
 interface StoreReaderParts {
+  readonly clock: Clock;
   readonly store: KeyValueStore;
   readonly instances: InstanceList;
   readonly membership: Membership;
@@ -23,13 +25,6 @@
   readonly log: Logger;
 }
 
-/** Waits without blocking the loop. */
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Watches the table and the instance list in the platform while this agent is a reader. */
 export class StoreReader {
   private isStopped = false;
@@ -58,12 +53,12 @@
         const isOk = await watch();
         if (!isOk) {
           // eslint-disable-next-line no-await-in-loop -- lets a failing platform rest
-          await pause(FAILURE_PAUSE_MS);
+          await this.parts.clock.pause(FAILURE_PAUSE_MS);
         }
       } else {
         this.parts.membership.setReadsStore(false);
         // eslint-disable-next-line no-await-in-loop -- looks again later
-        await pause(IDLE_PAUSE_MS);
+        await this.parts.clock.pause(IDLE_PAUSE_MS);
       }
     }
   }
--- a/packages/agent/src/table/table-editor.ts
+++ b/packages/agent/src/table/table-editor.ts
@@ -20,13 +20,6 @@
   readonly modifyIndex: number;
 }
 
-/** Waits a random moment, so that racing editors do not meet again at once. */
-function pauseAtRandom(): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, Math.random() * MAX_PAUSE_MS);
-  });
-}
-
 /**
  * Writes operators' edits to the store by compare-and-swap. A lost answer is settled by reading
  * back and looking for the edit's id.
@@ -63,8 +56,9 @@
         }
         mayHaveLanded ||= written.isErr() && written.error.type === 'unanswered';
       }
+      // A random moment, so that racing editors do not meet again at once.
       // eslint-disable-next-line no-await-in-loop -- one try after the other
-      await pauseAtRandom();
+      await this.clock.pause(Math.random() * MAX_PAUSE_MS);
     }
     return err(TableEditor.buildGiveUpError(mayHaveLanded));
   }
--- a/packages/dispatcher/src/build-dispatcher.ts
+++ b/packages/dispatcher/src/build-dispatcher.ts
@@ -34,16 +34,6 @@
 const SECRET_BYTES = 32;
 const DRAIN_POLL_MS = 20;
 
-/** Waits until the test holds. */
-async function waitUntil(test: () => boolean): Promise<void> {
-  while (!test()) {
-    // eslint-disable-next-line no-await-in-loop -- polls until the condition holds
-    await new Promise((resolve) => {
-      setTimeout(resolve, DRAIN_POLL_MS);
-    });
-  }
-}
-
 /** Wires a dispatcher's parts and opens its port. */
 export async function buildDispatcher(
   settings: z.infer<typeof dispatcherSchema>,
@@ -99,7 +89,10 @@
       isDraining = true;
       engine.beginDrain();
       await link.syncNow();
-      await waitUntil(() => kernel.countOpenJobs() === 0);
+      while (kernel.countOpenJobs() > 0) {
+        // eslint-disable-next-line no-await-in-loop -- polls until the accepted jobs have ended
+        await clock.pause(DRAIN_POLL_MS);
+      }
       // The last answers leave with the calls that wait for them.
       await control.close();
       link.stop();
--- a/packages/dispatcher/src/service/dispatcher-server.ts
+++ b/packages/dispatcher/src/service/dispatcher-server.ts
@@ -6,6 +6,7 @@
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { Problem } from '@guavaspindle/kernel/outcome/problem';
 import type { Job } from '@guavaspindle/kernel/submission/job';
+import type { TicketCheck } from '@guavaspindle/kernel/submission/ticket-check';
 import type { TicketMint } from '@guavaspindle/kernel/submission/ticket-mint';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { computeKeyDigest } from '@guavaspindle/platform/ledger/compute-key-digest';
@@ -43,7 +44,7 @@
 export class DispatcherServer implements ServiceImpl<typeof DispatcherService> {
   constructor(private readonly parts: ServiceParts) {}
 
-  mintTickets(request: MintTicketsRequest): { tickets: string[] } {
+  mintTickets(request: Pick<MintTicketsRequest, 'caller' | 'count'>): { tickets: string[] } {
     const caller = request.caller === '' ? undefined : (request.caller as CallerName);
     const count = Math.min(request.count, MAX_TICKETS);
     return { tickets: Array.from({ length: count }, () => this.parts.mint.mintTicket(caller)) };
@@ -127,21 +128,20 @@
       const problem = buildProblem('body-mismatch', 'not-run', detail);
       return buildJobReply(jobId, { type: 'problem', problem });
     }
-    const isOwn = this.parts.mint.findNumber(jobId, request.caller as CallerName) !== undefined;
-    return isOwn
+    const check = this.parts.mint.checkTicket(jobId, request.caller as CallerName);
+    return check.type === 'own'
       ? this.submitUnderTicket(request, jobId)
       : { jobId, result: { case: 'ownedByJobId', value: jobId } };
   }
 
   private async submitUnderTicket(request: SubmitJobRequest, jobId: JobId): Promise<JobReply> {
-    const number = this.parts.mint.findNumber(jobId, request.caller as CallerName);
-    if (number === undefined) {
-      return buildJobReply(jobId, {
-        type: 'problem',
-        problem: DispatcherServer.buildTicketProblem(),
-      });
+    const check = this.parts.mint.checkTicket(jobId, request.caller as CallerName);
+    if (check.type !== 'own') {
+      const problem = DispatcherServer.buildTicketProblem(check);
+      return buildJobReply(jobId, { type: 'problem', problem });
     }
-    const decision = this.parts.engine.submitJob(readSubmission(request, jobId), number);
+    const submission = readSubmission(request, jobId);
+    const decision = this.parts.engine.submitJob(submission, check.number);
     if (decision.type === 'refused') {
       return buildJobReply(jobId, { type: 'problem', problem: decision.problem });
     }
@@ -151,9 +151,25 @@
     return buildJobReply(jobId, await this.parts.engine.waitForJob(decision.job));
   }
 
-  private static buildTicketProblem(): Problem {
-    const detail = 'The ticket is not one of this caller; ask for a new one.';
-    return buildProblem('ticket-invalid', 'not-run', detail);
+  private static buildTicketProblem(check: Exclude<TicketCheck, { type: 'own' }>): Problem {
+    switch (check.type) {
+      case 'foreign':
+        // The owner may have run it: an earlier process at this address, for example.
+        return buildProblem(
+          'owner-unreachable',
+          'unknown',
+          'The process that owned this submission is gone, and nobody else may start it. ' +
+            'Check what was done before submitting anew.',
+        );
+      case 'invalid':
+        return buildProblem(
+          'ticket-invalid',
+          'not-run',
+          'The ticket is not one of this caller; ask for a new one.',
+        );
+      default:
+        return check satisfies never;
+    }
   }
 
   private static buildStateReply(job: Job): JobReply {
@@ -169,8 +185,11 @@
     if (job?.caller === caller) {
       return { job };
     }
-    const number = this.parts.mint.findNumber(id, caller);
-    const isForgotten = number !== undefined && this.parts.kernel.hasUsedTicket(number);
+    const check = this.parts.mint.checkTicket(id, caller);
+    if (check.type === 'foreign') {
+      return { problem: DispatcherServer.buildTicketProblem(check) };
+    }
+    const isForgotten = check.type === 'own' && this.parts.kernel.hasUsedTicket(check.number);
     return {
       problem: isForgotten
         ? buildProblem('answer-forgotten', 'unknown', 'The answer is no longer kept.')
--- /dev/null
+++ b/packages/dispatcher/tests/dispatcher-server.test.ts
@@ -0,0 +1,66 @@
+import { create } from '@bufbuild/protobuf';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
+import { TicketMint } from '@guavaspindle/kernel/submission/ticket-mint';
+import type { DispatcherServer } from '@guavaspindle/dispatcher/service/dispatcher-server';
+import {
+  CancelJobRequestSchema,
+  GetJobRequestSchema,
+  SubmitJobRequestSchema,
+} from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+import { buildServer } from './fixtures/build-server';
+
+/** Mints a ticket of an earlier process that listened at the same address. */
+function mintStranger(): string {
+  const incarnation = 'ffffffffffffffff' as IncarnationId;
+  return new TicketMint('oviedo' as DomainName, incarnation, Buffer.alloc(32, 9)).mintTicket();
+}
+
+describe('DispatcherServer asked about a ticket of an earlier incarnation', () => {
+  let server: DispatcherServer;
+  let close: () => void;
+
+  beforeEach(() => {
+    ({ server, close } = buildServer());
+  });
+
+  afterEach(() => close());
+
+  it.each([
+    [
+      'submission',
+      () =>
+        server.submitJob(
+          create(SubmitJobRequestSchema, {
+            ticket: mintStranger(),
+            caller: 'caller',
+            kind: 'plan',
+            bodyHash: 'hash',
+            tasks: [{ payloadJson: '1' }],
+            wait: true,
+          }),
+        ),
+    ],
+    [
+      'question',
+      () => server.getJob(create(GetJobRequestSchema, { jobId: mintStranger(), caller: 'caller' })),
+    ],
+    [
+      'cancellation',
+      () =>
+        server.cancelJob(
+          create(CancelJobRequestSchema, { jobId: mintStranger(), caller: 'caller' }),
+        ),
+    ],
+  ])('answers a %s with "unknown", never "not-run"', async (_name, ask) => {
+    const reply = await ask();
+    expect(reply.result).toMatchObject({ case: 'problem', value: { outcome: 'unknown' } });
+  });
+
+  it('refuses a forged ticket of its own as not run', async () => {
+    const { tickets } = server.mintTickets({ caller: 'caller', count: 1 });
+    const forged = `${tickets[0]!.slice(0, -4)}0000`;
+    const reply = server.getJob(create(GetJobRequestSchema, { jobId: forged, caller: 'caller' }));
+    expect(reply.result).toMatchObject({ case: 'problem', value: { outcome: 'not-run' } });
+  });
+});
--- /dev/null
+++ b/packages/dispatcher/tests/task-executor.test.ts
@@ -0,0 +1,223 @@
+import type { AttemptOutcome } from '@guavaspindle/kernel/outcome/attempt-outcome';
+import { systemClock } from '@guavaspindle/kernel/time/system-clock';
+import { TaskExecutor } from '@guavaspindle/dispatcher/execution/task-executor';
+import { buildStart } from './fixtures/build-start';
+import { ScriptedServer, type Script } from './fixtures/scripted-server';
+
+/** Formats a raw HTTP answer. */
+function formatAnswer(status: number, body: string, headers = ''): string {
+  const length = Buffer.byteLength(body);
+  return `HTTP/1.1 ${status} X\r\ncontent-length: ${length}\r\n${headers}\r\n${body}`;
+}
+
+/** Builds a script that answers with a status and a body. */
+function buildReply(status: number, buildBody: (attempt: string) => string): Script {
+  return (socket, attempt) => socket.write(formatAnswer(status, buildBody(attempt)));
+}
+
+interface Case {
+  readonly name: string;
+  readonly script: Script;
+  readonly outcome: AttemptOutcome['type'];
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'a whole answer',
+    script: buildReply(200, (attempt) => `{"attempt":"${attempt}","answer":{"echo":1}}`),
+    outcome: 'answered',
+  },
+  {
+    name: 'a null answer',
+    script: buildReply(200, (attempt) => `{"attempt":"${attempt}","answer":null}`),
+    outcome: 'answered',
+  },
+  {
+    name: 'an answer of one megabyte',
+    script: buildReply(
+      200,
+      (attempt) => `{"attempt":"${attempt}","answer":"${'x'.repeat(1_000_000)}"}`,
+    ),
+    outcome: 'answered',
+  },
+  {
+    name: 'an answer beyond the size limit',
+    script: buildReply(
+      200,
+      (attempt) => `{"attempt":"${attempt}","answer":"${'x'.repeat(5_000_000)}"}`,
+    ),
+    outcome: 'unknown',
+  },
+  {
+    name: 'an answer to another attempt',
+    script: buildReply(200, () => '{"attempt":"job/0/2","answer":1}'),
+    outcome: 'unknown',
+  },
+  {
+    name: 'an answer without an attempt',
+    script: buildReply(200, () => '{"answer":1}'),
+    outcome: 'unknown',
+  },
+  {
+    name: 'an answer without the answer',
+    script: buildReply(200, (attempt) => `{"attempt":"${attempt}"}`),
+    outcome: 'unknown',
+  },
+  { name: 'an answer that is not JSON', script: buildReply(200, () => 'ok'), outcome: 'unknown' },
+  { name: 'an empty answer', script: buildReply(200, () => ''), outcome: 'unknown' },
+  {
+    name: 'an answer that breaks off',
+    script: (socket, attempt) => {
+      socket.end(`HTTP/1.1 200 X\r\ncontent-length: 500\r\n\r\n{"attempt":"${attempt}","ans`);
+    },
+    outcome: 'unknown',
+  },
+  {
+    name: 'an answer that stops and leaves the connection open',
+    script: (socket, attempt) => {
+      socket.write(`HTTP/1.1 200 X\r\ncontent-length: 500\r\n\r\n{"attempt":"${attempt}","ans`);
+    },
+    outcome: 'unknown',
+  },
+  {
+    name: 'the same answer twice',
+    script: (socket, attempt) => {
+      const answer = formatAnswer(200, `{"attempt":"${attempt}","answer":1}`);
+      socket.write(answer + answer);
+    },
+    outcome: 'answered',
+  },
+  {
+    name: 'a failure that names the attempt',
+    script: buildReply(500, (attempt) => `{"attempt":"${attempt}"}`),
+    outcome: 'failed',
+  },
+  { name: 'a bare failure', script: buildReply(500, () => 'oops'), outcome: 'unknown' },
+  {
+    name: 'a proved refusal with 429',
+    script: buildReply(429, (attempt) => `{"attempt":"${attempt}","notRun":true}`),
+    outcome: 'not-run',
+  },
+  {
+    name: 'a proved refusal with 503',
+    script: buildReply(503, (attempt) => `{"attempt":"${attempt}","notRun":true}`),
+    outcome: 'not-run',
+  },
+  { name: 'a bare 503', script: buildReply(503, () => ''), outcome: 'unknown' },
+  {
+    name: 'a 503 that does not say notRun',
+    script: buildReply(503, (attempt) => `{"attempt":"${attempt}"}`),
+    outcome: 'unknown',
+  },
+  {
+    name: 'a refusal of another attempt',
+    script: buildReply(429, () => '{"attempt":"job/0/7","notRun":true}'),
+    outcome: 'unknown',
+  },
+  {
+    name: 'a refusal whose notRun is a word',
+    script: buildReply(429, (attempt) => `{"attempt":"${attempt}","notRun":"true"}`),
+    outcome: 'unknown',
+  },
+  {
+    name: 'a redirect',
+    script: buildReply(302, (attempt) => `{"attempt":"${attempt}"}`),
+    outcome: 'unknown',
+  },
+  {
+    name: 'a 404 that names the attempt',
+    script: buildReply(404, (attempt) => `{"attempt":"${attempt}","notRun":true}`),
+    outcome: 'unknown',
+  },
+  {
+    name: 'a connection closed without an answer',
+    script: (socket) => socket.end(),
+    outcome: 'unknown',
+  },
+  {
+    name: 'a connection reset without an answer',
+    script: (socket) => socket.resetAndDestroy(),
+    outcome: 'unknown',
+  },
+  { name: 'no answer at all', script: () => {}, outcome: 'unknown' },
+  {
+    name: 'bytes that are not HTTP',
+    script: (socket) => socket.end('SSH-2.0-x\r\n'),
+    outcome: 'unknown',
+  },
+];
+
+describe('TaskExecutor', () => {
+  it.each(cases)('takes $name for $outcome and sends one start', async ({ script, outcome }) => {
+    const server = await ScriptedServer.open(script);
+    const executor = new TaskExecutor(systemClock, { reportLeaving: () => {} });
+    const ended = await executor.runAttempt(buildStart(server.address));
+    // Anything that the client would send again by itself would be sent by now.
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    expect({ type: ended.type, starts: server.starts }).toEqual({ type: outcome, starts: 1 });
+    executor.close();
+    await server.close();
+  });
+
+  it('proves that nothing ran when the connection is refused', async () => {
+    const server = await ScriptedServer.open(() => {});
+    await server.close();
+    const executor = new TaskExecutor(systemClock, { reportLeaving: () => {} });
+    const ended = await executor.runAttempt(buildStart(server.address));
+    expect(ended).toMatchObject({ type: 'not-run', cause: 'never-sent' });
+    executor.close();
+  });
+
+  it('sends no second start when a reused connection is reset', async () => {
+    let served = 0;
+    const server = await ScriptedServer.open((socket, attempt) => {
+      served += 1;
+      if (served === 1) {
+        socket.write(formatAnswer(200, `{"attempt":"${attempt}","answer":1}`));
+      } else {
+        socket.resetAndDestroy();
+      }
+    });
+    const executor = new TaskExecutor(systemClock, { reportLeaving: () => {} });
+    const first = await executor.runAttempt(buildStart(server.address));
+    const second = await executor.runAttempt(buildStart(server.address));
+    expect([first.type, second.type, server.starts]).toEqual(['answered', 'unknown', 2]);
+    executor.close();
+    await server.close();
+  });
+
+  it('replaces connections when one goes silent, and sends nothing twice', async () => {
+    const silent = new Set<unknown>();
+    const server = await ScriptedServer.open((socket, attempt) => {
+      if (silent.size === 0) {
+        silent.add(socket);
+      }
+      if (!silent.has(socket)) {
+        socket.write(formatAnswer(200, `{"attempt":"${attempt}","answer":1}`));
+      }
+    });
+    const executor = new TaskExecutor(systemClock, { reportLeaving: () => {} });
+    const lost = await executor.runAttempt(buildStart(server.address, 1_500));
+    const next = await executor.runAttempt(buildStart(server.address));
+    expect([lost.type, next.type, server.starts]).toEqual(['unknown', 'answered', 2]);
+    executor.close();
+    await server.close();
+  });
+
+  it("reports a server's own word that it leaves", async () => {
+    const server = await ScriptedServer.open((socket, attempt) => {
+      const body = `{"attempt":"${attempt}","answer":1}`;
+      socket.end(formatAnswer(200, body, 'X-Leaving: true\r\nConnection: close\r\n'));
+    });
+    const leaving: string[] = [];
+    const executor = new TaskExecutor(systemClock, {
+      reportLeaving: ({ address }) => leaving.push(address),
+    });
+    await executor.runAttempt(buildStart(server.address));
+    expect(leaving).toEqual([server.address]);
+    executor.close();
+    await server.close();
+  });
+});
--- a/packages/gateway/src/build-gateway.ts
+++ b/packages/gateway/src/build-gateway.ts
@@ -89,9 +89,7 @@
     async shutDown() {
       isDraining = true;
       context.ring.recordEvent({ type: 'drain-started', detail: {} });
-      await new Promise((resolve) => {
-        setTimeout(resolve, common.drainDelay);
-      });
+      await context.clock.pause(common.drainDelay);
       const closed = once(server, 'close');
       server.close();
       server.closeIdleConnections();
--- a/packages/gateway/src/routing/submission-router.ts
+++ b/packages/gateway/src/routing/submission-router.ts
@@ -33,13 +33,6 @@
   readonly clock: Clock;
 }
 
-/** Waits without blocking the loop. */
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Tells whether a refusal is about this dispatcher only, so that another may take the work. */
 function isLocalRefusal(reply: JobReply): boolean {
   if (reply.result.case !== 'problem' || reply.result.value.outcome !== 'not-run') {
@@ -149,7 +142,7 @@
         return err(buildUnreachableProblem());
       }
       // eslint-disable-next-line no-await-in-loop -- lets the owner come back
-      await pause(RESEND_PAUSE_MS);
+      await clock.pause(RESEND_PAUSE_MS);
     }
   }
 
--- a/packages/kernel/src/submission/ticket-mint.ts
+++ b/packages/kernel/src/submission/ticket-mint.ts
@@ -4,6 +4,7 @@
 import type { IncarnationId } from '../ids/incarnation-id';
 import type { JobId } from '../ids/job-id';
 import { decodeTicket } from './decode-ticket';
+import type { TicketCheck } from './ticket-check';
 
 const MAC_HEX_LENGTH = 24;
 const NUMBER_RADIX = 36;
@@ -32,19 +33,20 @@
     return `t1.${this.domain}.${this.incarnation}.${number.toString(NUMBER_RADIX)}.${mac}` as JobId;
   }
 
-  /** Checks that this incarnation minted the ticket for this caller; returns its number. */
-  findNumber(ticket: JobId, caller: CallerName): number | undefined {
+  /** Tells whether this incarnation minted the ticket for this caller. */
+  checkTicket(ticket: JobId, caller: CallerName): TicketCheck {
     const parts = decodeTicket(ticket);
-    if (parts?.incarnation !== this.incarnation) {
-      return undefined;
+    if (parts === undefined) {
+      return { type: 'invalid' };
     }
-    if (parts.number >= this.nextNumber) {
-      return undefined;
+    if (parts.incarnation !== this.incarnation) {
+      return { type: 'foreign' };
     }
-    const isValid = [caller, NO_CALLER].some((bound) =>
+    const isMinted = parts.number < this.nextNumber;
+    const hasMac = [caller, NO_CALLER].some((bound) =>
       timingSafeEqual(Buffer.from(parts.mac), Buffer.from(this.computeMac(parts.number, bound))),
     );
-    return isValid ? parts.number : undefined;
+    return isMinted && hasMac ? { type: 'own', number: parts.number } : { type: 'invalid' };
   }
 
   private computeMac(number: number, caller: string): string {
--- a/packages/kernel/src/time/clock.ts
+++ b/packages/kernel/src/time/clock.ts
@@ -4,4 +4,6 @@
   now(): number;
   /** Milliseconds since the Unix epoch, for people and for stamps between processes. */
   wall(): number;
+  /** Waits so many milliseconds without blocking the loop. */
+  pause(ms: number): Promise<void>;
 }
--- a/packages/kernel/src/time/system-clock.ts
+++ b/packages/kernel/src/time/system-clock.ts
@@ -4,4 +4,8 @@
 export const systemClock: Clock = {
   now: () => performance.now(),
   wall: () => Date.now(),
+  pause: (ms) =>
+    new Promise((resolve) => {
+      setTimeout(resolve, ms);
+    }),
 };
--- a/packages/load/src/deployment/deployment.ts
+++ b/packages/load/src/deployment/deployment.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import { request } from 'undici';
 import { buildPlan } from './build-plan';
 import type { DeployedInstance } from './deployed-instance';
@@ -18,6 +18,12 @@
 const SERVER_CORES = 64;
 const SERVER_MEMORY_MB = 262_144;
 
+/** Finds the built file of a binary such as agent/agent, from the source or the built folder. */
+function findBinary(name: string): string {
+  const [folder, binary] = name.split('/');
+  return resolve(__dirname, '../../..', folder!, 'dist/bin', `${binary}.js`);
+}
+
 /** A whole deployment on loopback, with stand-ins for the platform and the backend servers. */
 export class Deployment {
   readonly callerName = 'pedidos';
@@ -109,12 +115,12 @@
     };
     const writer = new SettingsWriter(this.options, this.plan, keys);
     this.platformProcess = this.startProcess(
-      '@guavaspindle/stand-ins/bin/platform-stand-in',
+      'stand-ins/platform-stand-in',
       'platform',
       writer.formatPlatform(),
     );
     this.options.domains.forEach((domain) => {
-      const script = '@guavaspindle/stand-ins/bin/backend-stand-in';
+      const script = 'stand-ins/backend-stand-in';
       const text = writer.formatBackend(domain);
       this.backends.set(domain, this.startProcess(script, `backend-${domain}`, text));
     });
@@ -123,18 +129,14 @@
       const name = `${plan.domain}-${plan.index}`;
       this.instances.push({
         plan,
-        agent: this.startProcess(
-          '@guavaspindle/agent/bin/agent',
-          `agent-${name}`,
-          writer.formatAgent(plan),
-        ),
+        agent: this.startProcess('agent/agent', `agent-${name}`, writer.formatAgent(plan)),
         dispatcher: this.startProcess(
-          '@guavaspindle/dispatcher/bin/dispatcher',
+          'dispatcher/dispatcher',
           `dispatcher-${name}`,
           writer.formatDispatcher(plan),
         ),
         gateway: this.startProcess(
-          '@guavaspindle/gateway/bin/gateway',
+          'gateway/gateway',
           `gateway-${name}`,
           writer.formatGateway(plan),
         ),
@@ -147,7 +149,7 @@
   private startProcess(script: string, name: string, settings: string): DeployedProcess {
     const file = join(this.folder, `${name}.ini`);
     writeFileSync(file, settings);
-    return new DeployedProcess(require.resolve(script), file);
+    return new DeployedProcess(findBinary(script), file);
   }
 
   private async listBackendServers(): Promise<void> {
--- a/packages/platform/src/ledger/ledger-partition.ts
+++ b/packages/platform/src/ledger/ledger-partition.ts
@@ -32,13 +32,6 @@
   }
 }
 
-/** Waits without blocking the loop. */
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /**
  * One partition of the ledger. Claims that arrive while a write is under way are written together
  * by the next one (group commit), so the store's load grows with time and not with submissions.
@@ -79,7 +72,7 @@
       if (!isSettled) {
         this.refuseOverdue();
         // eslint-disable-next-line no-await-in-loop -- lets a failing store rest
-        await pause(RETRY_PAUSE_MS);
+        await this.clock.pause(RETRY_PAUSE_MS);
       }
     }
     this.isWorking = false;
--- /dev/null
+++ b/packages/platform/tests/idempotency-ledger.property.test.ts
@@ -0,0 +1,95 @@
+import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { ClaimResult } from '@guavaspindle/platform/ledger/claim-result';
+import { IdempotencyLedger } from '@guavaspindle/platform/ledger/idempotency-ledger';
+import type { LedgerClaim } from '@guavaspindle/platform/ledger/ledger-claim';
+import * as fc from 'fast-check';
+import { FakeClock } from './fixtures/fake-clock';
+import { FakeStore } from './fixtures/fake-store';
+import type { StoreFault } from './fixtures/store-fault';
+
+const SEED = 20_261_204;
+const SCHEDULES = 2_000;
+const RETENTION_MS = 10_000_000;
+const KEYS = ['00000000aa', '00000000bb'];
+
+const faults = fc.array(
+  fc.constantFrom<StoreFault>('ok', 'ok', 'ok', 'lost', 'late', 'cut', 'not-sent'),
+  { maxLength: 60 },
+);
+
+const claimers = fc.array(
+  fc.record({ dispatcher: fc.nat(2), key: fc.nat(KEYS.length - 1), joins: fc.boolean() }),
+  { minLength: 1, maxLength: 10 },
+);
+
+/** One claim and what became of it. */
+interface Settled {
+  readonly claim: LedgerClaim;
+  readonly result: ClaimResult;
+}
+
+/** Builds a claim with a job id of its own. */
+function buildClaim(key: string, number: number): LedgerClaim {
+  return { key, jobId: `job-${number}` as JobId, bodyHash: 'hash', claimedAtMs: 1_000 };
+}
+
+/** Lists the jobs that some result or the store names as the owner of a key. */
+function listOwners(key: string, settled: readonly Settled[], stored: LedgerClaim[]): Set<JobId> {
+  const owners = new Set(stored.filter((claim) => claim.key === key).map((claim) => claim.jobId));
+  settled
+    .filter(({ claim }) => claim.key === key)
+    .forEach(({ claim, result }) => {
+      if (result.type === 'claimed') {
+        owners.add(claim.jobId);
+      } else if (result.type === 'taken') {
+        owners.add(result.claim.jobId);
+      }
+    });
+  return owners;
+}
+
+describe('IdempotencyLedger under generated store faults', () => {
+  it(`gives each key one owner for good (${SCHEDULES} schedules)`, async () => {
+    await fc.assert(
+      fc.asyncProperty(faults, claimers, async (schedule, claims) => {
+        const store = new FakeStore(schedule);
+        const ledgers = [0, 1, 2].map(
+          () => new IdempotencyLedger(store, new FakeClock(), RETENTION_MS),
+        );
+        const under: Promise<Settled>[] = [];
+        for (const [number, { dispatcher, key, joins }] of claims.entries()) {
+          const claim = buildClaim(KEYS[key]!, number);
+          const settled = ledgers[dispatcher]!.claimKey(claim).then((result) => ({
+            claim,
+            result,
+          }));
+          under.push(settled);
+          if (!joins) {
+            // eslint-disable-next-line no-await-in-loop -- some claims come one after the other
+            await settled;
+          }
+        }
+        const settled = await Promise.all(under);
+        const stored = store
+          .listKeys()
+          .flatMap((key) => JSON.parse(store.settleText(key) ?? '[]') as LedgerClaim[]);
+        KEYS.forEach((key) => {
+          expect(listOwners(key, settled, stored).size).toBeLessThanOrEqual(1);
+        });
+      }),
+      { seed: SEED, numRuns: SCHEDULES },
+    );
+  });
+
+  it('writes claims that arrive together in one batch', async () => {
+    const store = new FakeStore([]);
+    const write = jest.spyOn(store, 'compareAndSet');
+    const ledger = new IdempotencyLedger(store, new FakeClock(), RETENTION_MS);
+    const claims = Array.from({ length: 100 }, (_unused, number) =>
+      ledger.claimKey(buildClaim(`00000000${number}`, number)),
+    );
+    const results = await Promise.all(claims);
+    expect(results.every(({ type }) => type === 'claimed')).toBe(true);
+    expect(write.mock.calls.length).toBeLessThanOrEqual(2);
+  });
+});
