--- a/packages/dispatcher/tests/task-executor.test.ts
+++ b/packages/dispatcher/tests/task-executor.test.ts
@@ -2,7 +2,8 @@
 import { systemClock } from '@guavaspindle/kernel/time/system-clock';
 import { TaskExecutor } from '@guavaspindle/dispatcher/execution/task-executor';
 import { buildStart } from './fixtures/build-start';
-import { ScriptedServer, type Script } from './fixtures/scripted-server';
+import type { Script } from './fixtures/script';
+import { ScriptedServer } from './fixtures/scripted-server';
 
 /** Formats a raw HTTP answer. */
 function formatAnswer(status: number, body: string, headers = ''): string {
--- a/packages/gateway/src/http/build-app.ts
+++ b/packages/gateway/src/http/build-app.ts
@@ -131,7 +131,10 @@
       maxSize: parts.maxBodyBytes,
       onError: () => {
         const detail = `The body is larger than ${parts.maxBodyBytes} bytes; split the job.`;
-        return buildProblemResponse(buildProblem('too-large', 'not-run', detail));
+        const response = buildProblemResponse(buildProblem('too-large', 'not-run', detail));
+        // The rest of the body is not read, so no later request may use the connection.
+        response.headers.set('connection', 'close');
+        return response;
       },
     }),
   );
