--- a/packages/dispatcher/src/execution/server-connection.ts
+++ b/packages/dispatcher/src/execution/server-connection.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici';
 
-/** A backend server takes at most 64 connections; with six dispatchers, eight each fit. */
+/** A backend server takes at most 64 connections; with six dispatchers, nine each fit. */
 const CONNECTIONS_PER_SERVER = 8;
 const CONNECT_TIMEOUT_MS = 1_000;
 /** Idle connections are not reused after this time, since they may have gone silent. */
@@ -10,12 +10,18 @@
 
 /** The connections to one backend server, replaced as a whole when one seems to be silent. */
 export class ServerConnection {
+  /** The connection for stops, which must not wait behind the starts that they are about. */
+  readonly controlPool: Pool;
+
   private current: Pool;
 
   private replacedAtMs = -Infinity;
 
+  private progressAtMs = -Infinity;
+
   constructor(private readonly address: string) {
-    this.current = this.createPool();
+    this.current = this.createPool(CONNECTIONS_PER_SERVER);
+    this.controlPool = this.createPool(1);
   }
 
   /** The connections to use for the next request. */
@@ -23,6 +29,16 @@
     return this.current;
   }
 
+  /** Notes that an answer came, so that the way to the server works. */
+  recordProgress(nowMs: number): void {
+    this.progressAtMs = nowMs;
+  }
+
+  /** Tells whether any answer came after the given time. */
+  hasProgressSince(timeMs: number): boolean {
+    return this.progressAtMs > timeMs;
+  }
+
   /**
    * Gives later requests fresh connections; requests in progress keep theirs.
    *
@@ -34,7 +50,7 @@
     }
     this.replacedAtMs = nowMs;
     const old = this.current;
-    this.current = this.createPool();
+    this.current = this.createPool(CONNECTIONS_PER_SERVER);
     // Resolves when the last request on the old connections has ended.
     old.close().catch(() => {});
     return true;
@@ -43,11 +59,18 @@
   /** Cuts all connections. */
   destroy(): void {
     this.current.destroy().catch(() => {});
+    this.controlPool.destroy().catch(() => {});
+  }
+
+  /** Closes all connections once the requests on them have ended. */
+  close(): void {
+    this.current.close().catch(() => {});
+    this.controlPool.close().catch(() => {});
   }
 
-  private createPool(): Pool {
+  private createPool(connections: number): Pool {
     return new Pool(`http://${this.address}`, {
-      connections: CONNECTIONS_PER_SERVER,
+      connections,
       pipelining: 1,
       connect: { timeout: CONNECT_TIMEOUT_MS },
       keepAliveTimeout: KEEP_ALIVE_MS,
--- /dev/null
+++ b/packages/dispatcher/src/execution/start-call.ts
@@ -0,0 +1,95 @@
+import type { AttemptId } from '@guavaspindle/kernel/ids/attempt-id';
+import type { AttemptOutcome } from '@guavaspindle/kernel/outcome/attempt-outcome';
+import { NotRun } from '@guavaspindle/kernel/outcome/not-run';
+import type { Dispatcher } from 'undici';
+import { classifyAnswer } from './classify-answer';
+import { classifyException } from './classify-exception';
+
+/** The longest answer taken from a backend server, in bytes. */
+const MAX_ANSWER_BYTES = 4 * 1_048_576;
+
+/** What a call reports when it ends. */
+interface StartCallHooks {
+  readonly reportLeaving: () => void;
+  readonly reportOutcome: (outcome: AttemptOutcome) => void;
+}
+
+/**
+ * One start on its way to a backend server: collects the answer and ends with one outcome.
+ * It handles the HTTP client's events itself, which costs less than a stream for each answer.
+ */
+export class StartCall implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+
+  private status = 0;
+
+  private chunks: Buffer[] = [];
+
+  private bytes = 0;
+
+  private isEnded = false;
+
+  private isGivenUp = false;
+
+  constructor(
+    private readonly attempt: AttemptId,
+    private readonly hooks: StartCallHooks,
+  ) {}
+
+  /** Ends the call now; what has been sent may still run. */
+  giveUp(detail: string): void {
+    this.isGivenUp = true;
+    const { controller } = this;
+    // Without a controller the start still waits for a connection, and will never be written.
+    this.endCall(
+      controller === undefined ? NotRun.proveNeverSent(detail) : { type: 'unknown', detail },
+    );
+    controller?.abort(new Error(detail));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.isGivenUp) {
+      controller.abort(new Error('given up before it was sent'));
+      return;
+    }
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    this.status = statusCode;
+    if (headers['x-leaving'] === 'true') {
+      this.hooks.reportLeaving();
+    }
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.bytes += chunk.length;
+    if (this.bytes > MAX_ANSWER_BYTES) {
+      controller.abort(new Error(`the answer is longer than ${MAX_ANSWER_BYTES} bytes`));
+      return;
+    }
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const text = Buffer.concat(this.chunks).toString('utf8');
+    this.endCall(classifyAnswer(this.attempt, this.status, text));
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.endCall(classifyException(error));
+  }
+
+  private endCall(outcome: AttemptOutcome): void {
+    if (this.isEnded) {
+      return;
+    }
+    this.isEnded = true;
+    this.chunks = [];
+    this.hooks.reportOutcome(outcome);
+  }
+}
--- a/packages/dispatcher/src/execution/task-executor.ts
+++ b/packages/dispatcher/src/execution/task-executor.ts
@@ -1,20 +1,18 @@
-import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { KernelEffect } from '@guavaspindle/kernel/dispatch/kernel-effect';
 import type { AttemptOutcome } from '@guavaspindle/kernel/outcome/attempt-outcome';
 import type { ServerInfo } from '@guavaspindle/kernel/placement/server-info';
-import type { Dispatcher } from 'undici';
-import { classifyAnswer } from './classify-answer';
-import { classifyException } from './classify-exception';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { ServerConnection } from './server-connection';
+import { StartCall } from './start-call';
 
 /** A start is given up this long after its lease, which leaves time for the answer to travel. */
 const LEASE_GRACE_MS = 250;
 /** A connection is suspect when an answer takes this many times the expected run time. */
 const SUSPECT_FACTOR = 5;
 const MIN_SUSPECT_MS = 1_000;
+/** How often overdue starts are looked for; one timer for all costs less than one each. */
+const SWEEP_MS = 50;
 const STOP_TIMEOUT_MS = 1_000;
-/** The longest answer taken from a backend server, in bytes. */
-const MAX_ANSWER_BYTES = 4 * 1_048_576;
 
 type StartEffect = Extract<KernelEffect, { type: 'start' }>;
 type StopEffect = Extract<KernelEffect, { type: 'stop' }>;
@@ -25,18 +23,14 @@
   readonly reportLeaving: (server: ServerInfo) => void;
 }
 
-/** Reads a body up to the size limit; rejects beyond it. */
-async function readAnswer(body: Dispatcher.ResponseData['body']): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MAX_ANSWER_BYTES) {
-      throw new Error(`the answer is longer than ${MAX_ANSWER_BYTES} bytes`);
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString('utf8');
+/** A start that has not ended. */
+interface OpenStart {
+  readonly call: StartCall;
+  readonly connection: ServerConnection;
+  readonly startedAtMs: number;
+  readonly giveUpAtMs: number;
+  readonly suspectAtMs: number;
+  isSuspected: boolean;
 }
 
 /** Builds the body of a start; the payload is passed on as the caller sent it. */
@@ -50,45 +44,57 @@
 export class TaskExecutor {
   private readonly connections = new Map<string, ServerConnection>();
 
+  private readonly open = new Set<OpenStart>();
+
+  private readonly sweeper: NodeJS.Timeout;
+
   constructor(
     private readonly clock: Clock,
     private readonly hooks: ExecutorHooks,
-  ) {}
+  ) {
+    this.sweeper = setInterval(() => this.endOverdueStarts(), SWEEP_MS);
+  }
 
   /** Sends one start, once, and returns how it ended. Never rejects. */
-  async runAttempt(effect: StartEffect): Promise<AttemptOutcome> {
-    const connection = this.getConnection(effect.server.address);
-    const abort = new AbortController();
-    const limit = setTimeout(() => abort.abort(), effect.leaseMs + LEASE_GRACE_MS);
-    const suspectMs = Math.max(MIN_SUSPECT_MS, effect.task.estimateMs * SUSPECT_FACTOR);
-    const suspicion = setTimeout(() => connection.replacePool(this.clock.now()), suspectMs);
-    try {
-      const response = await connection.pool.request({
-        method: 'POST',
-        path: '/v1/run',
-        headers: { 'content-type': 'application/json' },
-        body: buildRunBody(effect),
-        signal: abort.signal,
+  runAttempt(effect: StartEffect): Promise<AttemptOutcome> {
+    return new Promise((resolve) => {
+      const connection = this.getConnection(effect.server.address);
+      const nowMs = this.clock.now();
+      const call = new StartCall(effect.attempt, {
+        reportLeaving: () => this.hooks.reportLeaving(effect.server),
+        reportOutcome: (outcome) => {
+          // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set before any end
+          this.open.delete(start);
+          connection.recordProgress(this.clock.now());
+          resolve(outcome);
+        },
       });
-      if (response.headers['x-leaving'] === 'true') {
-        this.hooks.reportLeaving(effect.server);
-      }
-      const text = await readAnswer(response.body);
-      return classifyAnswer(effect.attempt, response.statusCode, text);
-    } catch (error) {
-      return abort.signal.aborted
-        ? { type: 'unknown', detail: 'no answer within the lease' }
-        : classifyException(error);
-    } finally {
-      clearTimeout(limit);
-      clearTimeout(suspicion);
-    }
+      const start: OpenStart = {
+        call,
+        connection,
+        startedAtMs: nowMs,
+        giveUpAtMs: nowMs + effect.leaseMs + LEASE_GRACE_MS,
+        suspectAtMs: nowMs + Math.max(MIN_SUSPECT_MS, effect.task.estimateMs * SUSPECT_FACTOR),
+        isSuspected: false,
+      };
+      this.open.add(start);
+      connection.pool.dispatch(
+        {
+          method: 'POST',
+          path: '/v1/run',
+          headers: ['content-type', 'application/json'],
+          body: buildRunBody(effect),
+        },
+        call,
+      );
+    });
   }
 
   /** Asks a server to stop an attempt. A lost stop costs only the server's time. */
   async stopAttempt(effect: StopEffect): Promise<void> {
     try {
-      const response = await this.getConnection(effect.server.address).pool.request({
+      const { controlPool } = this.getConnection(effect.server.address);
+      const response = await controlPool.request({
         method: 'POST',
         path: `/v1/attempts/${encodeURIComponent(effect.attempt)}/stop`,
         signal: AbortSignal.timeout(STOP_TIMEOUT_MS),
@@ -99,12 +105,12 @@
     }
   }
 
-  /** Closes connections to servers that are not listed any more. */
+  /** Closes connections to servers that are not listed any more; starts in progress go on. */
   retainServers(servers: readonly ServerInfo[]): void {
     const addresses = new Set(servers.map((server) => server.address));
     this.connections.forEach((connection, address) => {
       if (!addresses.has(address)) {
-        connection.pool.close().catch(() => {});
+        connection.close();
         this.connections.delete(address);
       }
     });
@@ -112,10 +118,26 @@
 
   /** Cuts all connections. */
   close(): void {
+    clearInterval(this.sweeper);
     this.connections.forEach((connection) => connection.destroy());
     this.connections.clear();
   }
 
+  private endOverdueStarts(): void {
+    const nowMs = this.clock.now();
+    this.open.forEach((start) => {
+      const { call, connection } = start;
+      const isOverdue = nowMs >= start.suspectAtMs && !start.isSuspected;
+      if (isOverdue && !connection.hasProgressSince(start.startedAtMs)) {
+        start.isSuspected = true;
+        connection.replacePool(nowMs);
+      }
+      if (nowMs >= start.giveUpAtMs) {
+        call.giveUp('no answer within the lease');
+      }
+    });
+  }
+
   private getConnection(address: string): ServerConnection {
     let connection = this.connections.get(address);
     if (connection === undefined) {
--- a/packages/kernel/src/placement/assigned-placement.ts
+++ b/packages/kernel/src/placement/assigned-placement.ts
@@ -1,7 +1,8 @@
+import type { ServerId } from '../ids/server-id';
+import { assignEvenly } from './assign-evenly';
 import { placementPolicies } from './placement-policies';
 import type { FleetView } from './fleet-view';
 import type { PlacementPolicy } from './placement-policy';
-import { rankNodes } from './rank-nodes';
 import type { ServerAccount } from './server-account';
 import type { ServerInfo } from './server-info';
 
@@ -14,15 +15,24 @@
 }
 
 /**
- * Assigns each server to one dispatcher by rendezvous hash. The others use its slots only while
- * more than a reserve of them is reported free.
+ * Assigns each server to one dispatcher: the one that ranks first for it by rendezvous hash and
+ * has not got its even part of the servers yet. The others use a server's slots only while more
+ * than a reserve of them is reported free.
  */
 class AssignedPlacement implements PlacementPolicy {
   // eslint-disable-next-line class-methods-use-this -- part of the policy interface
-  computeAllowance(server: ServerInfo, fleet: FleetView): number {
+  computeAllowances(servers: readonly ServerInfo[], fleet: FleetView): Map<ServerId, number> {
     const nodes = [fleet.self, ...fleet.peers.map((peer) => peer.incarnation)];
-    const reserve = rankNodes(server.id, nodes)[0] === fleet.self ? 0 : OVERFLOW_RESERVE;
-    return Math.max(0, server.slots - countPeerUse(server, fleet) - reserve);
+    const assigned = assignEvenly(
+      servers.map((server) => server.id),
+      nodes,
+    );
+    return new Map(
+      servers.map((server) => {
+        const reserve = assigned.get(server.id) === fleet.self ? 0 : OVERFLOW_RESERVE;
+        return [server.id, Math.max(0, server.slots - countPeerUse(server, fleet) - reserve)];
+      }),
+    );
   }
 
   // eslint-disable-next-line class-methods-use-this -- part of the policy interface
--- a/packages/kernel/src/placement/random-placement.ts
+++ b/packages/kernel/src/placement/random-placement.ts
@@ -1,3 +1,4 @@
+import type { ServerId } from '../ids/server-id';
 import { placementPolicies } from './placement-policies';
 import type { PlacementPolicy } from './placement-policy';
 import type { ServerAccount } from './server-account';
@@ -8,8 +9,8 @@
   constructor(private readonly random: () => number) {}
 
   // eslint-disable-next-line class-methods-use-this -- part of the policy interface
-  computeAllowance(server: ServerInfo): number {
-    return server.slots;
+  computeAllowances(servers: readonly ServerInfo[]): Map<ServerId, number> {
+    return new Map(servers.map((server) => [server.id, server.slots]));
   }
 
   chooseServer(usable: readonly ServerAccount[]): ServerAccount {
--- a/packages/kernel/src/placement/server-pool.ts
+++ b/packages/kernel/src/placement/server-pool.ts
@@ -106,8 +106,10 @@
   }
 
   private computeAllowances(): void {
-    this.accounts.forEach((account) => {
-      account.allowance = this.policy.computeAllowance(account.info, this.fleet);
+    const servers = [...this.accounts.values()].map((account) => account.info);
+    const allowances = this.policy.computeAllowances(servers, this.fleet);
+    this.accounts.forEach((account, id) => {
+      account.allowance = allowances.get(id) ?? 0;
     });
   }
 }
--- a/packages/kernel/src/policy/run-time-estimator.ts
+++ b/packages/kernel/src/policy/run-time-estimator.ts
@@ -3,7 +3,9 @@
 
 /** Weight of the newest observation in a learned mean. */
 const LEARNING_RATE = 0.1;
-/** Factor by which one observation moves the typical run time. */
+/** Factor by which one observation moves the median of its own description. */
+const MEDIAN_STEP = 1.1;
+/** Factor by which one observation moves the typical run time over all tasks. */
 const TYPICAL_STEP = 1.02;
 const INITIAL_ESTIMATE_MS = 200;
 /** A task is long when it is expected to run this many times the typical run time. */
@@ -19,16 +21,37 @@
   return Math.max(0, Math.round(Math.log2(expectedMs)));
 }
 
+/** What is known of tasks with the same description. */
+interface LearnedRunTime {
+  readonly meanMs: number;
+  readonly medianMs: number;
+}
+
+/** Moves an estimated median one step towards an observation. */
+function moveTowards(medianMs: number, ranMs: number, step: number): number {
+  return ranMs > medianMs ? medianMs * step : Math.max(1, medianMs / step);
+}
+
 /** Learns run times per caller, kind and declared size from what tasks really took. */
 export class RunTimeEstimator {
-  private readonly means = new Map<string, number>();
+  private readonly learned = new Map<string, LearnedRunTime>();
 
   private typicalMs = INITIAL_ESTIMATE_MS;
 
   /** Estimates a task's run time in milliseconds. */
   estimateMs(caller: CallerName, kind: KindName, expectedMs: number | undefined): number {
-    const learned = this.means.get(RunTimeEstimator.buildKey(caller, kind, expectedMs));
-    return learned ?? expectedMs ?? INITIAL_ESTIMATE_MS;
+    const learned = this.learned.get(RunTimeEstimator.buildKey(caller, kind, expectedMs));
+    return learned?.meanMs ?? expectedMs ?? INITIAL_ESTIMATE_MS;
+  }
+
+  /**
+   * Tells whether a task is expected to hold a slot for long. The median decides: a few long tasks
+   * among many short ones of the same description must not make all of them count as long.
+   */
+  isLong(caller: CallerName, kind: KindName, expectedMs: number | undefined): boolean {
+    const learned = this.learned.get(RunTimeEstimator.buildKey(caller, kind, expectedMs));
+    const medianMs = learned?.medianMs ?? expectedMs ?? INITIAL_ESTIMATE_MS;
+    return medianMs >= this.computeLongThresholdMs();
   }
 
   /** Records how long a task ran. */
@@ -39,9 +62,12 @@
     ranMs: number,
   ): void {
     const key = RunTimeEstimator.buildKey(caller, kind, expectedMs);
-    const mean = this.means.get(key) ?? ranMs;
-    this.means.set(key, mean + LEARNING_RATE * (ranMs - mean));
-    this.typicalMs *= ranMs > this.typicalMs ? TYPICAL_STEP : 1 / TYPICAL_STEP;
+    const { meanMs, medianMs } = this.learned.get(key) ?? { meanMs: ranMs, medianMs: ranMs };
+    this.learned.set(key, {
+      meanMs: meanMs + LEARNING_RATE * (ranMs - meanMs),
+      medianMs: moveTowards(medianMs, ranMs, MEDIAN_STEP),
+    });
+    this.typicalMs = moveTowards(this.typicalMs, ranMs, TYPICAL_STEP);
   }
 
   /** The run time in milliseconds from which a task counts as long. */
--- a/packages/kernel/src/submission/build-job.ts
+++ b/packages/kernel/src/submission/build-job.ts
@@ -34,7 +34,8 @@
   deadlineMs: number,
 ): Job {
   const tasks = buildTasks(submission, estimator);
-  const longThresholdMs = estimator.computeLongThresholdMs();
+  const isLong = (task: Task) =>
+    estimator.isLong(submission.caller, submission.kind, task.input.expectedMs);
   return {
     id: submission.jobId,
     caller: submission.caller,
@@ -44,8 +45,8 @@
     acceptedAtMs: nowMs,
     deadlineAtMs: nowMs + deadlineMs,
     tasks,
-    waitingShort: listIndices(tasks, (task) => task.estimateMs < longThresholdMs),
-    waitingLong: listIndices(tasks, (task) => task.estimateMs >= longThresholdMs),
+    waitingShort: listIndices(tasks, (task) => !isLong(task)),
+    waitingLong: listIndices(tasks, isLong),
     answered: 0,
     startedAtEnd: undefined,
     waitingWorkMs: tasks.reduce((sum, task) => sum + task.estimateMs, 0),
--- a/packages/stand-ins/src/backend/backend-stand-in.ts
+++ b/packages/stand-ins/src/backend/backend-stand-in.ts
@@ -21,7 +21,11 @@
 });
 
 const payloadSchema = z
-  .object({ runMs: z.number().default(0), echo: z.unknown(), fail: z.boolean().default(false) })
+  .object({
+    runMs: z.number().default(0),
+    echo: z.unknown().optional(),
+    fail: z.boolean().default(false),
+  })
   .catch({ runMs: 0, echo: null, fail: false });
 
 /** A task that holds a slot. */
@@ -47,6 +51,8 @@
 
   private refusals = 0;
 
+  private startCount = 0;
+
   private readonly usageTimer: NodeJS.Timeout;
 
   /**
@@ -113,7 +119,7 @@
     if (route === 'GET /stand-in/starts') {
       sendJson(response, 200, this.starts);
     } else if (route === 'GET /stand-in/counts') {
-      sendJson(response, 200, { starts: this.starts.length, refusals: this.refusals });
+      sendJson(response, 200, { starts: this.startCount, refusals: this.refusals });
     } else if (route === 'POST /stand-in/faults') {
       this.setFaults(JSON.parse(text) as z.input<typeof backendFaultsSchema>);
       sendJson(response, 200, this.faults);
@@ -144,6 +150,7 @@
       sendJson(response, 429, { attempt, notRun: true });
       return;
     }
+    this.startCount += 1;
     if (this.keepStarts && this.starts.length < MAX_STARTS) {
       this.starts.push({ task, attempt, kind, startedAtMs: Date.now(), payload });
     }
