--- a/packages/agent/src/membership/peer-exchange.ts
+++ b/packages/agent/src/membership/peer-exchange.ts
@@ -10,9 +10,9 @@
 import type { ServerHolder } from './server-holder';
 
 /** Time between exchanges with an agent of the same failure domain. */
-const EXCHANGE_INTERVAL_MS = 250;
+const EXCHANGE_INTERVAL_MS = 400;
 /** One exchange in this many goes to another failure domain as well. */
-const REMOTE_EVERY = 4;
+const REMOTE_EVERY = 3;
 const EXCHANGE_TIMEOUT_MS = 1_000;
 const NO_CAPACITY = { cores: 0, memoryMb: 0, accelerators: 0 };
 
--- a/packages/dispatcher/src/build-dispatcher.ts
+++ b/packages/dispatcher/src/build-dispatcher.ts
@@ -65,7 +65,7 @@
     engine,
     kernel,
     mint: new TicketMint(domain, incarnation, randomBytes(SECRET_BYTES)),
-    ledger: new IdempotencyLedger(store, clock, platform.keyRetention),
+    ledger: new IdempotencyLedger(store, clock, platform.keyRetention, platform.ledgerBatches),
     clock,
     recordReport: (report) => {
       peers.recordReport(report);
--- a/packages/dispatcher/src/dispatch-engine.ts
+++ b/packages/dispatcher/src/dispatch-engine.ts
@@ -14,7 +14,7 @@
 import type { TaskExecutor } from './execution/task-executor';
 
 /** How often time-driven decisions are taken. */
-const TICK_MS = 10;
+const TICK_MS = 20;
 
 /** What the engine connects. */
 interface EngineParts {
--- a/packages/dispatcher/src/execution/task-executor.ts
+++ b/packages/dispatcher/src/execution/task-executor.ts
@@ -11,7 +11,7 @@
 const SUSPECT_FACTOR = 5;
 const MIN_SUSPECT_MS = 1_000;
 /** How often overdue starts are looked for; one timer for all costs less than one each. */
-const SWEEP_MS = 50;
+const SWEEP_MS = 100;
 const STOP_TIMEOUT_MS = 1_000;
 
 type StartEffect = Extract<KernelEffect, { type: 'start' }>;
--- a/packages/dispatcher/src/settings.ts
+++ b/packages/dispatcher/src/settings.ts
@@ -9,6 +9,7 @@
 import { defineField } from '@guavaspindle/runtime/settings/define-field';
 
 const MAX_DISPATCHERS = 1_000;
+const MAX_BATCHES = 1_000;
 
 /** Defines a setting that names a registered plug-in; the composition root checks the name. */
 function definePlugin(about: string, fallback: string) {
@@ -39,6 +40,12 @@
   platform: defineSection({
     store: defineAddress("The platform's key-value service."),
     adapter: defineName('The store adapter, such as consul.'),
+    ledgerBatches: defineInteger(
+      'Most batches of idempotency keys written to the store in a second by this dispatcher.',
+      1,
+      MAX_BATCHES,
+      '40',
+    ),
     keyRetention: defineDuration('How long idempotency keys are remembered.', '24h'),
   }),
 });
--- a/packages/platform/src/ledger/idempotency-ledger.ts
+++ b/packages/platform/src/ledger/idempotency-ledger.ts
@@ -1,3 +1,4 @@
+import { TokenBucket } from '@guavaspindle/kernel/limits/token-bucket';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { KeyValueStore } from '../store/key-value-store';
 import type { ClaimResult } from './claim-result';
@@ -7,16 +8,22 @@
 
 /** The callers' idempotency keys, kept in the platform's store. */
 export class IdempotencyLedger {
+  private readonly pace: TokenBucket;
+
   private readonly partitions = new Map<string, LedgerPartition>();
 
   /**
    * @param retentionMs - how long a key is remembered; afterwards it counts as new
+   * @param batchesPerSecond - most reads and writes of this process, each, to the store
    */
   constructor(
     private readonly store: KeyValueStore,
     private readonly clock: Clock,
     private readonly retentionMs: number,
-  ) {}
+    batchesPerSecond: number,
+  ) {
+    this.pace = new TokenBucket(batchesPerSecond);
+  }
 
   /** Claims a key for a job of this incarnation, unless it is taken. */
   claimKey(claim: LedgerClaim): Promise<ClaimResult> {
@@ -26,7 +33,13 @@
   private getPartition(storeKey: string): LedgerPartition {
     let partition = this.partitions.get(storeKey);
     if (partition === undefined) {
-      partition = new LedgerPartition(storeKey, this.store, this.clock, this.retentionMs);
+      partition = new LedgerPartition(
+        storeKey,
+        this.store,
+        this.clock,
+        this.retentionMs,
+        this.pace,
+      );
       this.partitions.set(storeKey, partition);
     }
     return partition;
--- a/packages/platform/src/ledger/ledger-partition.ts
+++ b/packages/platform/src/ledger/ledger-partition.ts
@@ -1,3 +1,4 @@
+import type { TokenBucket } from '@guavaspindle/kernel/limits/token-bucket';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { KeyValueStore } from '../store/key-value-store';
 import type { ClaimResult } from './claim-result';
@@ -8,6 +9,7 @@
 /** A claim is refused when the store could not settle it in this time. */
 const CLAIM_TIMEOUT_MS = 2_000;
 const RETRY_PAUSE_MS = 50;
+const TURN_POLL_MS = 5;
 
 /** A claim waiting to be settled. */
 interface PendingClaim {
@@ -49,6 +51,8 @@
     private readonly store: KeyValueStore,
     private readonly clock: Clock,
     private readonly retentionMs: number,
+    /** Bounds this process's batches over all partitions, for the sake of the platform's store. */
+    private readonly pace: TokenBucket,
   ) {}
 
   /** Claims a key; resolves when the store has settled it, or could not in time. */
@@ -68,6 +72,8 @@
     while (this.pending.length > 0) {
       // One read and one write settle everything that waits; then the next batch has its turn.
       // eslint-disable-next-line no-await-in-loop -- batches are written one after the other
+      await this.waitForTurn();
+      // eslint-disable-next-line no-await-in-loop -- batches are written one after the other
       const isSettled = await this.settleBatch();
       if (!isSettled) {
         this.refuseOverdue();
@@ -78,6 +84,14 @@
     this.isWorking = false;
   }
 
+  /** Waits until the pace allows another batch; claims that arrive meanwhile join it. */
+  private async waitForTurn(): Promise<void> {
+    while (!this.pace.takeToken(this.clock.now())) {
+      // eslint-disable-next-line no-await-in-loop -- polls for the next token
+      await this.clock.pause(TURN_POLL_MS);
+    }
+  }
+
   /** Returns false if the store could not be asked. */
   private async settleBatch(): Promise<boolean> {
     const read = await this.readView();
--- a/packages/platform/tests/idempotency-ledger.property.test.ts
+++ b/packages/platform/tests/idempotency-ledger.property.test.ts
@@ -10,6 +10,7 @@
 const SEED = 20_261_204;
 const SCHEDULES = 2_000;
 const RETENTION_MS = 10_000_000;
+const BATCHES_PER_SECOND = 40;
 const KEYS = ['00000000aa', '00000000bb'];
 
 const faults = fc.array(
@@ -54,7 +55,7 @@
       fc.asyncProperty(faults, claimers, async (schedule, claims) => {
         const store = new FakeStore(schedule);
         const ledgers = [0, 1, 2].map(
-          () => new IdempotencyLedger(store, new FakeClock(), RETENTION_MS),
+          () => new IdempotencyLedger(store, new FakeClock(), RETENTION_MS, BATCHES_PER_SECOND),
         );
         const under: Promise<Settled>[] = [];
         for (const [number, { dispatcher, key, joins }] of claims.entries()) {
@@ -84,7 +85,7 @@
   it('writes claims that arrive together in one batch', async () => {
     const store = new FakeStore([]);
     const write = jest.spyOn(store, 'compareAndSet');
-    const ledger = new IdempotencyLedger(store, new FakeClock(), RETENTION_MS);
+    const ledger = new IdempotencyLedger(store, new FakeClock(), RETENTION_MS, BATCHES_PER_SECOND);
     const claims = Array.from({ length: 100 }, (_unused, number) =>
       ledger.claimKey(buildClaim(`00000000${number}`, number)),
     );
@@ -92,4 +93,22 @@
     expect(results.every(({ type }) => type === 'claimed')).toBe(true);
     expect(write.mock.calls.length).toBeLessThanOrEqual(2);
   });
+
+  it('keeps to its pace towards the store, whatever arrives', async () => {
+    const store = new FakeStore([]);
+    const write = jest.spyOn(store, 'compareAndSet');
+    const clock = new FakeClock();
+    const ledger = new IdempotencyLedger(store, clock, RETENTION_MS, BATCHES_PER_SECOND);
+    const startedAtMs = clock.now();
+    for (let number = 0; number < 100; number += 1) {
+      const digest = `${number.toString(16).padStart(8, '0')}${number}`;
+      // eslint-disable-next-line no-await-in-loop -- no two claims share a batch
+      await ledger.claimKey(buildClaim(digest, number));
+    }
+    const seconds = (clock.now() - startedAtMs) / 1_000;
+    // A tenth of a second's worth may go at once.
+    const allowed = BATCHES_PER_SECOND * (seconds + 0.1) + 1;
+    expect(write.mock.calls.length).toBe(100);
+    expect(write.mock.calls.length).toBeLessThanOrEqual(allowed);
+  });
 });
--- a/packages/runtime/src/agent/agent-link.ts
+++ b/packages/runtime/src/agent/agent-link.ts
@@ -13,7 +13,7 @@
 import type { ProcessContext } from '../process/process-context';
 
 /** Time between heartbeats to the agent. */
-const SYNC_INTERVAL_MS = 200;
+const SYNC_INTERVAL_MS = 500;
 const SYNC_TIMEOUT_MS = 1_000;
 
 /** What a process tells its agent, and what it does with the replies. */
