--- a/packages/dispatcher/src/peers/slot-reporter.ts
+++ b/packages/dispatcher/src/peers/slot-reporter.ts
@@ -43,7 +43,9 @@
 
   /** Starts the reports. */
   start(): void {
-    this.timer = setInterval(() => void this.reportToNext(), REPORT_INTERVAL_MS);
+    this.timer = setInterval(() => {
+      void this.reportToNext();
+    }, REPORT_INTERVAL_MS);
   }
 
   /** Stops the reports. */
--- a/packages/load/src/bin/settings-page.ts
+++ b/packages/load/src/bin/settings-page.ts
@@ -2,7 +2,7 @@
 import { agentSchema } from '@guavaspindle/agent/settings';
 import { dispatcherSchema } from '@guavaspindle/dispatcher/settings';
 import { gatewaySchema } from '@guavaspindle/gateway/settings';
-import { z } from 'zod';
+import type { z } from 'zod';
 
 /** The notes that a setting's definition carries. */
 interface FieldNotes {
@@ -33,7 +33,7 @@
 
 /** Formats the settings of one binary. */
 function formatBinary(name: string, schema: z.ZodObject): string {
-  const sections = Object.entries(schema.shape as Record<string, z.ZodType>);
+  const sections = Object.entries(schema.shape);
   const parts = sections.map(([section, fields]) => formatSection(section, fields));
   return [`## ${name}`, ...parts].join('\n\n');
 }
