Refuse what cannot end in time, before it runs for nothing; list only dispatchers that are ready

Jobs were admitted while their wait was below the deadline, started late, and timed out half done, so the slots worked for nothing. Change: a job has to end, not start, within 0.9 of its deadline by prediction, when other work waits; and a job that waiting has made late is refused as not run at its first start. Also: a restarted dispatcher without servers is not handed out for tickets (member.ready).

--- a/packages/agent/src/membership/membership.ts
+++ b/packages/agent/src/membership/membership.ts
@@ -147,10 +147,10 @@
     );
   }
 
-  /** Version of the list of members; it grows when a process comes, goes or begins to drain. */
+  /** Version of the list of members; it grows when a process comes, goes, is ready or drains. */
   readRosterVersion(): bigint {
     const roster = this.listMembers()
-      .map((member) => `${member.incarnation}${member.draining ? '-' : '+'}`)
+      .map((member) => `${member.incarnation} ${member.ready} ${member.draining}`)
       .sort()
       .join();
     if (roster !== this.roster) {
--- a/packages/dispatcher/src/agent/build-load-report.ts
+++ b/packages/dispatcher/src/agent/build-load-report.ts
@@ -4,5 +4,5 @@
 
 /** Builds what a dispatcher tells its agent of its load with each heartbeat. */
 export function buildLoadReport(kernel: DispatchKernel): MessageInitShape<typeof MemberSchema> {
-  return { backlogMs: kernel.computeBacklogMs() };
+  return { backlogMs: kernel.computeBacklogMs(), ready: kernel.isReady() };
 }
--- a/packages/gateway/src/routing/dispatcher-directory.ts
+++ b/packages/gateway/src/routing/dispatcher-directory.ts
@@ -42,6 +42,8 @@
   }
 
   private listOpen(domain: string): Member[] {
-    return this.dispatchers.filter((member) => member.domain === domain && !member.draining);
+    return this.dispatchers.filter(
+      (member) => member.domain === domain && member.ready && !member.draining,
+    );
   }
 }
--- a/packages/kernel/src/dispatch/check-admission.ts
+++ b/packages/kernel/src/dispatch/check-admission.ts
@@ -7,6 +7,8 @@
 
 /** Shortest advice to come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 100;
+/** Estimates are off, so new work has to fit into this part of its deadline. */
+const SAFE_DEADLINE_PART = 0.9;
 
 /** What an admission decision looks at. */
 interface AdmissionContext {
@@ -15,6 +17,8 @@
   readonly pool: ServerPool;
   readonly scheduler: Scheduler;
   readonly deadlineMs: number;
+  /** The expected run time of each task. */
+  readonly estimatesMs: readonly number[];
 }
 
 /** Refuses tasks that need more than any backend server has. */
@@ -51,7 +55,7 @@
   return undefined;
 }
 
-/** Refuses work whose predicted wait already exceeds its deadline. */
+/** Refuses work that would hardly end before its deadline: a part of it would run for nothing. */
 function checkWait(context: AdmissionContext): Problem | undefined {
   const { flow, pool, scheduler, deadlineMs } = context;
   const slots = pool.countSlots();
@@ -63,15 +67,21 @@
       1000,
     );
   }
-  const waitMs = scheduler.predictWaitMs(flow, slots);
-  if (waitMs < deadlineMs) {
+  if (scheduler.countWaiting() === 0) {
+    // Nothing is ahead: estimates alone, which may be far off, refuse nothing.
+    return undefined;
+  }
+  const { estimatesMs } = context;
+  const workMs = estimatesMs.reduce((sum, estimateMs) => sum + estimateMs, 0);
+  const endMs = scheduler.predictEndMs(flow, slots, workMs, Math.max(...estimatesMs));
+  if (endMs < deadlineMs * SAFE_DEADLINE_PART) {
     return undefined;
   }
   return buildProblem(
     'no-capacity',
     'not-run',
-    `The predicted wait of ${Math.ceil(waitMs)} ms exceeds the deadline of ${deadlineMs} ms.`,
-    Math.max(MIN_RETRY_AFTER_MS, waitMs - deadlineMs),
+    `The job would end in about ${Math.ceil(endMs)} ms; its deadline is ${deadlineMs} ms.`,
+    Math.max(MIN_RETRY_AFTER_MS, endMs - deadlineMs),
   );
 }
 
--- a/packages/kernel/src/dispatch/dispatch-kernel.ts
+++ b/packages/kernel/src/dispatch/dispatch-kernel.ts
@@ -207,7 +207,7 @@
 
   /** Tells whether a table is in force and at least one server is known. */
   isReady(): boolean {
-    return this.table !== undefined && !this.draining;
+    return this.table !== undefined && this.pool.hasServers();
   }
 
   /** Revision of the table in force, 0 before the first. */
@@ -255,11 +255,19 @@
     const deadlineMs = Math.min(submission.deadlineMs ?? row.deadlineMs, row.deadlineMs);
     const { scheduler, pool } = this;
     const flow = scheduler.getFlow(submission.caller, submission.kind, row);
-    const problem = checkAdmission({ submission, flow, pool, scheduler, deadlineMs });
+    const job = buildJob(submission, this.estimator, nowMs, deadlineMs);
+    const estimatesMs = job.tasks.map((task) => task.estimateMs);
+    const problem = checkAdmission({
+      submission,
+      flow,
+      pool,
+      scheduler,
+      deadlineMs,
+      estimatesMs,
+    });
     if (problem !== undefined) {
       return this.refuseJob(submission, problem);
     }
-    const job = buildJob(submission, this.estimator, nowMs, deadlineMs);
     this.jobs.addJob(job, number);
     this.deadlines.pushItem(job);
     scheduler.addJob(flow, job);
@@ -279,12 +287,21 @@
       const account = this.pool.chooseServer(pick.task.input.demand, nowMs);
       if (account === undefined) {
         skipped.add(pick.flow);
+      } else if (DispatchKernel.isHopeless(pick, nowMs)) {
+        this.failJob(pick.job, nowMs, 'no-capacity', 'No slot became free in time.');
       } else {
         this.startTask(pick, account, nowMs);
       }
     }
   }
 
+  /** Tells whether waiting has made a job late of which nothing has started. */
+  private static isHopeless({ job, task }: TaskPick, nowMs: number): boolean {
+    const wasInTime = job.acceptedAtMs + task.estimateMs <= job.deadlineAtMs;
+    const isLate = nowMs + task.estimateMs > job.deadlineAtMs;
+    return wasInTime && isLate && computeOutcome(job.tasks) === 'not-run';
+  }
+
   private startTask(pick: TaskPick, account: ServerAccount, nowMs: number): void {
     const { job, task, flow, runClass } = pick;
     this.scheduler.takeTask(pick, nowMs);
@@ -396,7 +413,7 @@
   private failJob(
     job: Job,
     nowMs: number,
-    code: 'cancelled' | 'deadline-exceeded' | 'task-failed' | 'outcome-unknown',
+    code: 'cancelled' | 'deadline-exceeded' | 'task-failed' | 'outcome-unknown' | 'no-capacity',
     detail: string,
   ): void {
     const problem = buildProblem(code, computeOutcome(job.tasks), detail);
--- a/packages/kernel/src/placement/server-pool.ts
+++ b/packages/kernel/src/placement/server-pool.ts
@@ -63,6 +63,11 @@
     return usable.length === 0 ? undefined : this.policy.chooseServer(usable);
   }
 
+  /** Tells whether any server is known, free or not. */
+  hasServers(): boolean {
+    return this.accounts.size > 0;
+  }
+
   /** Tells whether any server could take a start of modest demand now. */
   hasFreeSlot(nowMs: number): boolean {
     return [...this.accounts.values()].some((account) => account.canStart(nowMs));
--- a/packages/kernel/src/queue/scheduler.ts
+++ b/packages/kernel/src/queue/scheduler.ts
@@ -138,12 +138,21 @@
     return Math.max(0, this.waitingWorkMs);
   }
 
-  /** Predicts how long new work of a flow waits for its first start, in milliseconds. */
-  predictWaitMs(flow: Flow, slots: number): number {
+  /**
+   * Predicts when new work of a flow would have ended, in milliseconds from now: what waits before
+   * it, what runs now, and the work itself.
+   *
+   * @param workMs - the sum of the new tasks' run times
+   * @param longestMs - the longest of them
+   */
+  predictEndMs(flow: Flow, slots: number, workMs: number, longestMs: number): number {
     const active = [...this.flows.values()].filter((other) => other.waiting > 0 || other === flow);
     const weights = active.reduce((sum, other) => sum + other.weight, 0);
     const flowSlots = (slots * flow.weight) / weights;
-    return Math.min(this.waitingWorkMs / slots, flow.waitingWorkMs / flowSlots);
+    const aheadMs = Math.min(this.waitingWorkMs / slots, flow.waitingWorkMs / flowSlots);
+    const ownMs = Math.max(longestMs, workMs / flowSlots);
+    // On average, half of what runs now is still to run.
+    return aheadMs + longestMs / 2 + ownMs;
   }
 
   private static pickFromFlow(flow: Flow, allowed: readonly RunClass[]): TaskPick {
