--- a/packages/gateway/src/http/build-app.ts
+++ b/packages/gateway/src/http/build-app.ts
@@ -158,15 +158,33 @@
     if ('code' in submission) {
       return buildProblemResponse(submission);
     }
-    const reply = await router.submitJob(submission);
-    return reply.match((value) => {
+    const { identity } = submission;
+    if (identity.type === 'ticket') {
       ring.recordEvent({
-        type: 'submission-relayed',
-        jobId: value.jobId as JobId,
-        detail: { result: value.result.case ?? 'none' },
+        type: 'submission-received',
+        jobId: identity.ticket as JobId,
+        detail: { caller: submission.caller, tasks: submission.tasks.length },
       });
-      return buildSubmitResponse(value);
-    }, buildProblemResponse);
+    }
+    const reply = await router.submitJob(submission);
+    return reply.match(
+      (value) => {
+        ring.recordEvent({
+          type: 'submission-relayed',
+          jobId: value.jobId as JobId,
+          detail: { result: value.result.case ?? 'none' },
+        });
+        return buildSubmitResponse(value);
+      },
+      (problem) => {
+        ring.recordEvent({
+          type: 'submission-refused',
+          ...(identity.type === 'ticket' ? { jobId: identity.ticket as JobId } : {}),
+          detail: { code: problem.code, outcome: problem.outcome },
+        });
+        return buildProblemResponse(problem);
+      },
+    );
   });
 
   app.get('/v1/jobs/:id', async (context) => {
--- a/packages/load/tests/process-failures.test.ts
+++ b/packages/load/tests/process-failures.test.ts
@@ -107,6 +107,21 @@
       await owner.dispatcher.kill();
       const again = await send();
       expect([again.status, again.body.outcome]).toEqual([502, 'unknown']);
+      const witness = deployment.instances[1 - place]!;
+      const path = '/v1/timeline?since=0';
+      const timeline = await deployment.sendToAgent(witness, 'GET', path);
+      const { events } = timeline.body as { events: { type: string; jobId: string; detail: object }[] };
+      const [, , incarnation] = ticket.split('.');
+      const story = events
+        .filter(
+          ({ jobId, detail }) => jobId === ticket || JSON.stringify(detail).includes(incarnation!),
+        )
+        .map(({ type }) => type);
+      // The dispatcher's own events died with it; the gateway and the agents tell what became of it.
+      expect(story.indexOf('submission-received')).toBeGreaterThanOrEqual(0);
+      expect(story.lastIndexOf('submission-refused')).toBeGreaterThan(
+        story.indexOf('submission-received'),
+      );
       owner.dispatcher.restart();
       await waitUntil('the instance serves again', LIMIT_MS, async () => {
         const { body } = await caller.sendToGateway(1, 'POST', '/v1/tickets', { count: 1 });
