Split the kernel by duty; build test and demo deployments from the same parts

Change: AttemptBook holds open attempts and what they take; recognition of submissions and the refusal without a row have modules of their own. No behaviour is meant to change.

--- /dev/null
+++ b/packages/kernel/src/dispatch/attempt-book.ts
@@ -0,0 +1,113 @@
+import type { AttemptId } from '../ids/attempt-id';
+import type { ServerId } from '../ids/server-id';
+import type { AttemptOutcome } from '../outcome/attempt-outcome';
+import type { ServerAccount } from '../placement/server-account';
+import type { ServerPool } from '../placement/server-pool';
+import type { RunTimeEstimator } from '../policy/run-time-estimator';
+import type { Scheduler } from '../queue/scheduler';
+import type { TaskPick } from '../queue/task-pick';
+import type { Job } from '../submission/job';
+import type { RunningAttempt } from './running-attempt';
+import { StopQueue } from './stop-queue';
+
+/** What the book keeps accounts with. */
+interface AttemptBookParts {
+  readonly pool: ServerPool;
+  readonly scheduler: Scheduler;
+  readonly estimator: RunTimeEstimator;
+  readonly reportEjection: (server: ServerId) => void;
+}
+
+/** The attempts whose outcome is open, with the slots and limits that they hold. */
+export class AttemptBook {
+  private readonly attempts = new Map<AttemptId, RunningAttempt>();
+
+  private readonly stops = new StopQueue();
+
+  constructor(private readonly parts: AttemptBookParts) {}
+
+  /** Takes a picked task from its queue and a slot from the server; returns the new attempt. */
+  beginAttempt(pick: TaskPick, account: ServerAccount, nowMs: number): RunningAttempt {
+    const { job, task, flow, runClass } = pick;
+    this.parts.scheduler.takeTask(pick, nowMs);
+    task.attempts += 1;
+    const id = `${task.id}/${task.attempts}` as AttemptId;
+    task.state = { type: 'started', attempt: id, server: account.info.id };
+    account.running += 1;
+    account.health.recordStart();
+    const attempt = { id, job, task, flow, account, startedAtMs: nowMs, runClass };
+    this.attempts.set(id, attempt);
+    return attempt;
+  }
+
+  /** Gives back what an attempt held; undefined if it is not open, as after a second outcome. */
+  endAttempt(id: AttemptId, outcome: AttemptOutcome, nowMs: number): RunningAttempt | undefined {
+    const attempt = this.attempts.get(id);
+    if (attempt === undefined) {
+      return undefined;
+    }
+    this.attempts.delete(id);
+    this.stops.dropStop(id);
+    this.releaseAttempt(attempt, outcome, nowMs);
+    return attempt;
+  }
+
+  /** Queues stops for the tasks of a job that run for nothing. */
+  stopTasks(job: Job): void {
+    job.tasks.forEach((task) => {
+      const running =
+        task.state.type === 'started' ? this.attempts.get(task.state.attempt) : undefined;
+      if (running !== undefined) {
+        this.stops.addStop(running);
+      }
+    });
+  }
+
+  /** Takes the attempts to stop now, at a bounded rate. */
+  takeDueStops(nowMs: number): RunningAttempt[] {
+    return this.stops.takeDueStops(nowMs);
+  }
+
+  /** Counts as long what has run for longer than a short task does. */
+  reclassOverruns(nowMs: number): void {
+    const thresholdMs = this.parts.estimator.computeLongThresholdMs();
+    this.attempts.forEach((attempt) => {
+      if (attempt.runClass === 'short' && nowMs - attempt.startedAtMs >= thresholdMs) {
+        attempt.runClass = 'long';
+        this.parts.scheduler.markLong();
+      }
+    });
+  }
+
+  private releaseAttempt(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
+    const { account, flow, job, task } = attempt;
+    const ranMs = outcome.type === 'not-run' ? 0 : nowMs - attempt.startedAtMs;
+    account.running -= 1;
+    this.parts.scheduler.releaseStart(flow, attempt.runClass, task.estimateMs, ranMs);
+    switch (outcome.type) {
+      case 'answered':
+        account.health.recordSuccess();
+        this.parts.estimator.recordRun(job.caller, job.kind, task.input.expectedMs, ranMs);
+        return;
+      case 'not-run':
+        account.health.recordNotRun();
+        account.pauseStarts(nowMs);
+        if (outcome.cause === 'never-sent') {
+          this.recordFailure(account, nowMs);
+        }
+        return;
+      case 'failed':
+      case 'unknown':
+        this.recordFailure(account, nowMs);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  private recordFailure(account: ServerAccount, nowMs: number): void {
+    if (this.parts.pool.recordFailure(account, nowMs)) {
+      this.parts.reportEjection(account.info.id);
+    }
+  }
+}
--- a/packages/kernel/src/dispatch/dispatch-kernel.ts
+++ b/packages/kernel/src/dispatch/dispatch-kernel.ts
@@ -21,15 +21,16 @@
 import type { JobSubmission } from '../submission/job-submission';
 import type { TaskState } from '../submission/task-state';
 import { findRow } from '../table/find-row';
-import { hasKind } from '../table/has-kind';
 import type { OperatorsTable } from '../table/operators-table';
 import type { TableRow } from '../table/table-row';
+import { AttemptBook } from './attempt-book';
+import { buildNoRowProblem } from './build-no-row-problem';
 import { buildProblem } from './build-problem';
 import { checkAdmission } from './check-admission';
+import { findSubmitted } from './find-submitted';
 import type { KernelEffect } from './kernel-effect';
 import type { KernelOptions } from './kernel-options';
 import type { RunningAttempt } from './running-attempt';
-import { StopQueue } from './stop-queue';
 import type { SubmitDecision } from './submit-decision';
 
 /** A lease is never shorter, so that a server can still answer a start sent near the deadline. */
@@ -53,12 +54,10 @@
 
   private readonly retryBudget = new RetryBudget();
 
-  private readonly attempts = new Map<AttemptId, RunningAttempt>();
+  private readonly attempts: AttemptBook;
 
   private readonly deadlines = new MinHeap<Job>((job) => job.deadlineAtMs);
 
-  private readonly stops = new StopQueue();
-
   private effects: KernelEffect[] = [];
 
   private table: OperatorsTable | undefined;
@@ -69,6 +68,12 @@
     this.jobs = new JobStore(options.retentionMs, options.maxAnswerBytes);
     this.pool = new ServerPool(options.placementPolicy, options.fleet);
     this.scheduler = new Scheduler(options.queuePolicy, options.domain, options.share);
+    this.attempts = new AttemptBook({
+      pool: this.pool,
+      scheduler: this.scheduler,
+      estimator: this.estimator,
+      reportEjection: (server) => this.recordEvent('server-ejected', undefined, { server }),
+    });
   }
 
   /** Returns the effects queued since the last call. */
@@ -118,7 +123,7 @@
 
   /** Accepts, recognises or refuses a submission whose ticket has this number. */
   submitJob(submission: JobSubmission, number: number, nowMs: number): SubmitDecision {
-    const known = this.findSubmitted(submission, number);
+    const known = findSubmitted(this.jobs, submission, number);
     if (known !== undefined) {
       return known;
     }
@@ -133,7 +138,7 @@
     }
     const row = findRow(table, submission.caller, submission.kind, this.options.domain);
     if (row === undefined) {
-      return this.refuseJob(submission, DispatchKernel.buildNoRowProblem(table, submission));
+      return this.refuseJob(submission, buildNoRowProblem(table, submission));
     }
     return this.admitJob(submission, number, row, nowMs);
   }
@@ -161,13 +166,10 @@
 
   /** Takes an attempt's outcome. A second outcome of the same attempt is ignored. */
   endAttempt(id: AttemptId, outcome: AttemptOutcome, nowMs: number): void {
-    const attempt = this.attempts.get(id);
+    const attempt = this.attempts.endAttempt(id, outcome, nowMs);
     if (attempt === undefined) {
       return;
     }
-    this.attempts.delete(id);
-    this.stops.dropStop(id);
-    this.releaseAttempt(attempt, outcome, nowMs);
     if (attempt.job.result === undefined) {
       this.applyOutcome(attempt, outcome, nowMs);
     }
@@ -177,9 +179,9 @@
   /** Does what is due by time: deadlines, overruns, stops, forgetting and delayed starts. */
   advanceTime(nowMs: number): void {
     this.endOverdueJobs(nowMs);
-    this.reclassOverruns(nowMs);
+    this.attempts.reclassOverruns(nowMs);
     this.jobs.forgetAnswers(nowMs);
-    this.stops.takeDueStops(nowMs).forEach((attempt) => {
+    this.attempts.takeDueStops(nowMs).forEach((attempt) => {
       this.effects.push({ type: 'stop', attempt: attempt.id, server: attempt.account.info });
     });
     this.startTasks(nowMs);
@@ -190,11 +192,6 @@
     return this.jobs.countOpen();
   }
 
-  /** Attempts whose outcome is open. */
-  countRunning(): number {
-    return this.attempts.size;
-  }
-
   /** Estimated waiting work in milliseconds of slot time. */
   computeBacklogMs(): number {
     return this.scheduler.computeBacklogMs();
@@ -215,32 +212,6 @@
     return this.table?.revision ?? 0;
   }
 
-  private findSubmitted(submission: JobSubmission, number: number): SubmitDecision | undefined {
-    const job = this.jobs.findJob(submission.jobId);
-    if (job !== undefined) {
-      const isSame = job.caller === submission.caller && job.bodyHash === submission.bodyHash;
-      return isSame
-        ? { type: 'existing', job }
-        : { type: 'refused', problem: DispatchKernel.buildMismatchProblem() };
-    }
-    if (!this.jobs.hasUsed(number)) {
-      return undefined;
-    }
-    const detail = 'This submission was accepted before and its answer is no longer kept.';
-    return { type: 'refused', problem: buildProblem('answer-forgotten', 'unknown', detail) };
-  }
-
-  private static buildMismatchProblem(): Problem {
-    const detail = 'The ticket or key was used with another body; use a new one.';
-    return buildProblem('body-mismatch', 'not-run', detail);
-  }
-
-  private static buildNoRowProblem(table: OperatorsTable, submission: JobSubmission): Problem {
-    return hasKind(table, submission.kind)
-      ? buildProblem('forbidden-kind', 'not-run', 'The table has no row for this caller and kind.')
-      : buildProblem('unknown-kind', 'not-run', 'The table does not name this kind.');
-  }
-
   private refuseJob(submission: JobSubmission, problem: Problem): SubmitDecision {
     this.recordEvent('submission-refused', submission.jobId, { code: problem.code });
     return { type: 'refused', problem };
@@ -303,54 +274,15 @@
   }
 
   private startTask(pick: TaskPick, account: ServerAccount, nowMs: number): void {
-    const { job, task, flow, runClass } = pick;
-    this.scheduler.takeTask(pick, nowMs);
-    task.attempts += 1;
+    const { id, job, task } = this.attempts.beginAttempt(pick, account, nowMs);
     if (task.attempts === 1) {
       this.retryBudget.recordFirstAttempt();
     }
-    const id = `${task.id}/${task.attempts}` as AttemptId;
-    task.state = { type: 'started', attempt: id, server: account.info.id };
-    account.running += 1;
-    account.health.recordStart();
-    this.attempts.set(id, { id, job, task, flow, account, startedAtMs: nowMs, runClass });
     const leaseMs = Math.max(MIN_LEASE_MS, job.deadlineAtMs - nowMs);
     this.effects.push({ type: 'start', attempt: id, job, task, server: account.info, leaseMs });
     this.recordEvent('task-started', job.id, { attempt: id, server: account.info.id });
   }
 
-  private releaseAttempt(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
-    const { account, flow, job, task } = attempt;
-    const ranMs = outcome.type === 'not-run' ? 0 : nowMs - attempt.startedAtMs;
-    account.running -= 1;
-    this.scheduler.releaseStart(flow, attempt.runClass, task.estimateMs, ranMs);
-    switch (outcome.type) {
-      case 'answered':
-        account.health.recordSuccess();
-        this.estimator.recordRun(job.caller, job.kind, task.input.expectedMs, ranMs);
-        return;
-      case 'not-run':
-        account.health.recordNotRun();
-        account.pauseStarts(nowMs);
-        if (outcome.cause === 'never-sent') {
-          this.recordServerFailure(account, nowMs);
-        }
-        return;
-      case 'failed':
-      case 'unknown':
-        this.recordServerFailure(account, nowMs);
-        return;
-      default:
-        outcome satisfies never;
-    }
-  }
-
-  private recordServerFailure(account: ServerAccount, nowMs: number): void {
-    if (this.pool.recordFailure(account, nowMs)) {
-      this.recordEvent('server-ejected', undefined, { server: account.info.id });
-    }
-  }
-
   private applyOutcome(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
     const { job, task, flow, id } = attempt;
     switch (outcome.type) {
@@ -418,13 +350,7 @@
   ): void {
     const problem = buildProblem(code, computeOutcome(job.tasks), detail);
     this.scheduler.dropJob(job);
-    job.tasks.forEach((task) => {
-      const running =
-        task.state.type === 'started' ? this.attempts.get(task.state.attempt) : undefined;
-      if (running !== undefined) {
-        this.stops.addStop(running);
-      }
-    });
+    this.attempts.stopTasks(job);
     this.endJob(job, { type: 'problem', problem }, nowMs);
   }
 
@@ -454,16 +380,6 @@
     }
   }
 
-  private reclassOverruns(nowMs: number): void {
-    const thresholdMs = this.estimator.computeLongThresholdMs();
-    this.attempts.forEach((attempt) => {
-      if (attempt.runClass === 'short' && nowMs - attempt.startedAtMs >= thresholdMs) {
-        attempt.runClass = 'long';
-        this.scheduler.markLong();
-      }
-    });
-  }
-
   private recordEvent(
     type: Extract<KernelEffect, { type: 'record' }>['event']['type'],
     jobId: JobId | undefined,
--- /dev/null
+++ b/packages/kernel/src/dispatch/find-submitted.ts
@@ -0,0 +1,25 @@
+import type { JobStore } from '../submission/job-store';
+import type { JobSubmission } from '../submission/job-submission';
+import { buildProblem } from './build-problem';
+import type { SubmitDecision } from './submit-decision';
+
+/** Recognises a submission that came before under the same ticket; undefined if it is new. */
+export function findSubmitted(
+  jobs: JobStore,
+  submission: JobSubmission,
+  number: number,
+): SubmitDecision | undefined {
+  const job = jobs.findJob(submission.jobId);
+  if (job !== undefined) {
+    const isSame = job.caller === submission.caller && job.bodyHash === submission.bodyHash;
+    const detail = 'The ticket or key was used with another body; use a new one.';
+    return isSame
+      ? { type: 'existing', job }
+      : { type: 'refused', problem: buildProblem('body-mismatch', 'not-run', detail) };
+  }
+  if (!jobs.hasUsed(number)) {
+    return undefined;
+  }
+  const detail = 'This submission was accepted before and its answer is no longer kept.';
+  return { type: 'refused', problem: buildProblem('answer-forgotten', 'unknown', detail) };
+}
--- a/packages/load/src/deployment/deployment.ts
+++ b/packages/load/src/deployment/deployment.ts
@@ -3,7 +3,9 @@
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { request } from 'undici';
+import { buildListedInstances } from './build-listed-instances';
 import { buildPlan } from './build-plan';
+import { buildWideRow } from './build-wide-row';
 import type { DeployedInstance } from './deployed-instance';
 import { DeployedProcess } from './deployed-process';
 import type { DeploymentOptions } from './deployment-options';
@@ -14,9 +16,7 @@
 
 const READY_LIMIT_MS = 30_000;
 const KEY_BYTES = 16;
-const WIDE_LIMIT = 1_000_000;
-const SERVER_CORES = 64;
-const SERVER_MEMORY_MB = 262_144;
+const DEADLINE_MS = 30_000;
 
 /** Finds the built file of a binary such as agent/agent, from the source or the built folder. */
 function findBinary(name: string): string {
@@ -154,18 +154,7 @@
 
   private async listBackendServers(): Promise<void> {
     const [address] = this.plan.platform.values();
-    const instances = [...this.plan.backends].flatMap(([domain, addresses]) =>
-      addresses.map((server, index) => {
-        const [host, port] = server.split(':');
-        const meta = {
-          domain,
-          slots: String(this.options.slotsPerServer),
-          cores: String(SERVER_CORES),
-          memoryMb: String(SERVER_MEMORY_MB),
-        };
-        return { id: `${domain}-${index}`, address: host, port: Number(port), meta };
-      }),
-    );
+    const instances = buildListedInstances(this.options, this.plan);
     await waitUntil('the stand-in platform', READY_LIMIT_MS, async () => {
       await sendToStandIn(address!, '/stand-in/instances', instances);
       return true;
@@ -177,16 +166,7 @@
     const agent = this.instances[0]!;
     for (let index = 0; index < this.options.kinds.length; index += 1) {
       const kind = this.options.kinds[index]!;
-      const row = {
-        caller: '*',
-        kind,
-        domain: '*',
-        weight: 1,
-        maxRunning: WIDE_LIMIT,
-        startsPerSecond: WIDE_LIMIT,
-        maxQueued: WIDE_LIMIT,
-        deadlineMs: 30_000,
-      };
+      const { rowId: _rowId, ...row } = buildWideRow(kind, DEADLINE_MS);
       // eslint-disable-next-line no-await-in-loop -- rows are written one after the other
       await waitUntil(`row ${kind} accepted`, READY_LIMIT_MS, async () => {
         const path = `/v1/table/rows/${kind}`;
--- a/packages/load/tests/process-failures.test.ts
+++ b/packages/load/tests/process-failures.test.ts
@@ -110,7 +110,9 @@
       const witness = deployment.instances[1 - place]!;
       const path = '/v1/timeline?since=0';
       const timeline = await deployment.sendToAgent(witness, 'GET', path);
-      const { events } = timeline.body as { events: { type: string; jobId: string; detail: object }[] };
+      const { events } = timeline.body as {
+        events: { type: string; jobId: string; detail: object }[];
+      };
       const [, , incarnation] = ticket.split('.');
       const story = events
         .filter(
