A deployment is ready only when every gateway knows every dispatcher

The test began as soon as each gateway knew one dispatcher; the gateway asked had not heard yet that the second was ready, so the draining one was its only candidate. The refusals were true (not run), but the deployment was called ready too early. Ruled out: a refusal by the second dispatcher; it was not asked, the refusals stopped with the next heartbeat. Change: /readyz of a gateway tells how many dispatchers of its domain it can use; the starter and the tests wait for all of them. The test and its bound are as they were.

--- a/packages/gateway/src/build-gateway.ts
+++ b/packages/gateway/src/build-gateway.ts
@@ -46,7 +46,8 @@
     ring: context.ring,
     log: context.log,
     maxBodyBytes: gateway.maxBody,
-    isReady: () => hasTable && !isDraining && directory.listInTurn(common.domain).length > 0,
+    isReady: () => hasTable && !isDraining && directory.countOpen(common.domain) > 0,
+    countDispatchers: () => directory.countOpen(common.domain),
   });
   let inProgress = 0;
   const server = createAdaptorServer({ fetch: app.fetch }) as Server;
--- a/packages/gateway/src/http/build-app.ts
+++ b/packages/gateway/src/http/build-app.ts
@@ -29,6 +29,8 @@
   readonly log: Logger;
   readonly maxBodyBytes: number;
   readonly isReady: () => boolean;
+  /** Dispatchers of the failure domain that take work, as far as this gateway knows. */
+  readonly countDispatchers: () => number;
 }
 
 /** Requests know their authenticated caller. */
@@ -112,7 +114,7 @@
   app.get('/healthz', (context) => context.json({ status: 'ok' }));
   app.get('/readyz', (context) =>
     parts.isReady()
-      ? context.json({ status: 'ready' })
+      ? context.json({ status: 'ready', dispatchers: parts.countDispatchers() })
       : buildProblemResponse(buildProblem('not-ready', 'not-run', 'Not ready, or draining.')),
   );
 
--- a/packages/gateway/src/routing/dispatcher-directory.ts
+++ b/packages/gateway/src/routing/dispatcher-directory.ts
@@ -36,6 +36,11 @@
     return ranked.map((incarnation) => open.find((member) => member.incarnation === incarnation)!);
   }
 
+  /** Counts the dispatchers of a failure domain that take work. */
+  countOpen(domain: string): number {
+    return this.listOpen(domain).length;
+  }
+
   /** Control addresses of all known dispatchers. */
   collectAddresses(): Set<string> {
     return new Set(this.dispatchers.map((member) => member.address));
--- a/packages/load/src/deployment/deployment.ts
+++ b/packages/load/src/deployment/deployment.ts
@@ -100,9 +100,10 @@
           const { body } = await this.sendToAgent(instance, 'GET', '/v1/table/adoption');
           const { processes } = body as { processes: { revision: number }[] };
           const ready = await request(`http://${instance.plan.gatewayHttp}/readyz`);
-          await ready.body.dump();
+          const known = (await ready.body.json()) as { dispatchers?: number };
           const current = processes.filter((process) => process.revision >= revision);
-          return ready.statusCode === 200 && current.length >= expected;
+          const hasAll = known.dispatchers === this.options.instancesPerDomain;
+          return ready.statusCode === 200 && hasAll && current.length >= expected;
         }),
       ),
     );
