--- a/packages/load/src/deployment/find-free-ports.ts
+++ b/packages/load/src/deployment/find-free-ports.ts
@@ -1,9 +1,9 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo } from 'node:net';
 
-/** Finds ports on 127.0.0.1 that are free now, all different. */
-export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+/** Finds ports of a loopback address that are free now, all different. */
+export async function findFreePorts(host: string, count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, host));
   await Promise.all(servers.map((server) => once(server, 'listening')));
   const ports = servers.map((server) => (server.address() as AddressInfo).port);
   await Promise.all(
