Prove the one "not run" of the executor that had no test

A start given up while it waits for a connection counts as never sent; nothing showed that the client does not send it later. Change: a test with eight silent connections and a ninth start. No product code changed.

--- a/packages/dispatcher/tests/task-executor.test.ts
+++ b/packages/dispatcher/tests/task-executor.test.ts
@@ -207,6 +207,25 @@
     await server.close();
   });
 
+  it('never sends a start that was given up as not run while it waited for a connection', async () => {
+    const server = await ScriptedServer.open(() => {});
+    const executor = new TaskExecutor(systemClock, { reportLeaving: () => {} });
+    const holders = Array.from({ length: 8 }, () =>
+      executor.runAttempt(buildStart(server.address, 700)),
+    );
+    const waiting = await executor.runAttempt(buildStart(server.address, 50));
+    expect(waiting).toMatchObject({ type: 'not-run', cause: 'never-sent' });
+    // The holders' connections are cut now, and whatever waits behind them has its turn.
+    const held = await Promise.all(holders);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 300);
+    });
+    expect(held.every(({ type }) => type === 'unknown')).toBe(true);
+    expect(server.starts).toBe(8);
+    executor.close();
+    await server.close();
+  });
+
   it("reports a server's own word that it leaves", async () => {
     const server = await ScriptedServer.open((socket, attempt) => {
       const body = `{"attempt":"${attempt}","answer":1}`;
