Wait for slots that peers use instead of refusing work

The dispatcher refused the request with `no-capacity`. It counted as its slots only what it may fill at this moment. When its own server was ejected and the peer had reported the other servers as full, that count was 0 and it said that no backend server takes work, though one came free within milliseconds.

Ruled out: the time line itself (the refusal is in it), lost events, a slow machine as such.

Change: a dispatcher expects at least an even part of the usable slots. Only when every server leaves or is suspect does it refuse for lack of servers.

Conclusion: a fault of the product, not of the test; the test is unchanged.

--- a/packages/kernel/src/placement/server-pool.ts
+++ b/packages/kernel/src/placement/server-pool.ts
@@ -78,15 +78,21 @@
     return [...this.accounts.values()].some((account) => fitsDemand(account.info.capacity, demand));
   }
 
-  /** Slots that this dispatcher may fill in all, busy ones included. */
+  /**
+   * Slots that this dispatcher can expect to fill, busy ones included; 0 only if no server takes
+   * work. Slots that the peers use come free again, so it is never less than an even part.
+   */
   countSlots(): number {
-    let sum = 0;
+    let allowed = 0;
+    let usable = 0;
     this.accounts.forEach((account) => {
       if (!account.isLeaving() && !account.health.isSuspect()) {
-        sum += account.allowance;
+        allowed += account.allowance;
+        usable += account.info.slots;
       }
     });
-    return sum;
+    const evenPart = Math.ceil(usable / (this.fleet.peers.length + 1));
+    return Math.max(allowed, evenPart);
   }
 
   /** Slots in use by this dispatcher, by server; servers without any are left out. */
