--- a/packages/kernel/src/queue/scheduler.ts
+++ b/packages/kernel/src/queue/scheduler.ts
@@ -9,19 +9,19 @@
 import type { OperatorsTable } from '../table/operators-table';
 import type { TableRow } from '../table/table-row';
 import { Flow } from './flow';
+import { LongCap } from './long-cap';
 import type { QueuePolicy } from './queue-policy';
 import type { RunClass } from './run-class';
 import type { TaskPick } from './task-pick';
 
-/** Part of the slots that tasks known to be long may hold. */
-const LONG_SLOT_PART = 0.7;
-
 /** Holds the waiting tasks of all flows and decides which goes next. */
 export class Scheduler {
   private readonly flows = new Map<string, Flow>();
 
   private longRunning = 0;
 
+  private readonly longCap = new LongCap();
+
   private waitingWorkMs = 0;
 
   constructor(
@@ -55,6 +55,7 @@
       this.policy.activateFlow(flow);
     }
     job.orderKey = this.policy.computeOrderKey(job);
+    this.longCap.recordJob(job);
     this.changeWaiting(flow, job.tasks.length, job.waitingWorkMs);
     flow.pushJob(job);
   }
@@ -78,7 +79,7 @@
    * @param skipped - flows whose first task found no server in this round
    */
   pickTask(nowMs: number, slots: number, skipped: ReadonlySet<Flow>): TaskPick | undefined {
-    const allowed = this.listAllowedClasses(slots);
+    const allowed = this.listAllowedClasses(slots, nowMs);
     const ready = [...this.flows.values()].filter(
       (flow) =>
         !skipped.has(flow) &&
@@ -171,9 +172,10 @@
     return runClass === 'short' ? job.waitingShort : job.waitingLong;
   }
 
-  private listAllowedClasses(slots: number): readonly RunClass[] {
-    const maxLong = Math.max(1, Math.floor(slots * LONG_SLOT_PART));
-    const allowsLong = !this.policy.separatesLongTasks || this.longRunning < maxLong;
+  private listAllowedClasses(slots: number, nowMs: number): readonly RunClass[] {
+    const allowsLong =
+      !this.policy.separatesLongTasks ||
+      this.longRunning < this.longCap.computeMaxLong(slots, nowMs);
     return allowsLong ? ['short', 'long'] : ['short'];
   }
 
--- a/tools/run-tests.mjs
+++ b/tools/run-tests.mjs
@@ -1,5 +1,7 @@
-// Runs the README's test command and passes over exactly the tests that KNOWN-RED.txt names.
+// Runs the tests, or those that the arguments select as for jest, and passes over exactly the tests
+// that KNOWN-RED.txt names.
 import { spawnSync } from 'node:child_process';
+import { createRequire } from 'node:module';
 import { existsSync, mkdtempSync, readFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -17,9 +19,12 @@
   return new Set(tests.map((line) => line.slice('test: '.length).trim()));
 }
 
-const run = spawnSync('npm', ['test', '--', '--ci', '--json', `--outputFile=${output}`], {
-  stdio: ['ignore', 'ignore', 'inherit'],
-});
+const jest = createRequire(import.meta.url).resolve('jest/bin/jest');
+const run = spawnSync(
+  process.execPath,
+  [jest, ...process.argv.slice(2), '--json', `--outputFile=${output}`],
+  { stdio: ['ignore', 'ignore', 'inherit'] },
+);
 if (!existsSync(output)) {
   process.stderr.write('The tests did not run to an end.\n');
   process.exit(run.status ?? 1);
@@ -39,6 +44,11 @@
   .forEach((name) => {
     process.stdout.write(`KNOWN RED: ${name}\n`);
   });
+tests
+  .filter((test) => test.status === 'passed' && known.has(test.fullName))
+  .forEach((test) => {
+    process.stdout.write(`KNOWN RED, but passed; take it out of ${KNOWN_RED}: ${test.fullName}\n`);
+  });
 surprises.forEach((name) => process.stdout.write(`FAILED: ${name}\n`));
 broken.forEach((file) => process.stdout.write(`BROKEN: ${file.name}\n${file.message}\n`));
 process.stdout.write(`${passed} passed, ${surprises.length + broken.length} failed\n`);
