Lend parts of limits between dispatchers

Cause: each dispatcher held a fixed part of every limit. A caller whose load came through one entry instance got half of its limit; with a limit below the number of dispatchers, some refused everything though the limit was free.

Change: loans with a term of 1 s, counted from the question at the borrower and from the grant plus the longest task lease at the lender; renewal, return, fairness for a dispatcher with no part. Tokens are no longer earned for the past when a rate is raised. Two calls more between dispatchers.

Not solved: what a killed dispatcher left running is not counted by its successor.

--- a/packages/dispatcher/src/build-dispatcher.ts
+++ b/packages/dispatcher/src/build-dispatcher.ts
@@ -27,6 +27,7 @@
 import { readServers } from './agent/read-servers';
 import { DispatchEngine } from './dispatch-engine';
 import { TaskExecutor } from './execution/task-executor';
+import { LimitBroker } from './peers/limit-broker';
 import { PeerDirectory } from './peers/peer-directory';
 import { SlotReporter } from './peers/slot-reporter';
 import { DispatcherServer } from './service/dispatcher-server';
@@ -58,8 +59,15 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
     reportLeaving: (server) => engine.markLeaving(server),
   });
-  const engine = new DispatchEngine({ kernel, executor, clock, ring, metrics });
   const peers = new PeerDirectory(incarnation, domain);
+  const broker = new LimitBroker({
+    limits: kernel.limits,
+    clock,
+    ring,
+    peers,
+    interceptors: context.clientInterceptors,
+  });
+  const engine = new DispatchEngine({ kernel, executor, broker, clock, ring, metrics });
   const store = getPlugin(storeAdapters, platform.adapter)(platform.store);
   const server = new DispatcherServer({
     engine,
--- a/packages/dispatcher/src/dispatch-engine.ts
+++ b/packages/dispatcher/src/dispatch-engine.ts
@@ -12,6 +12,7 @@
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { StatsD } from 'hot-shots';
 import type { TaskExecutor } from './execution/task-executor';
+import type { LimitBroker } from './peers/limit-broker';
 
 /** How often time-driven decisions are taken. */
 const TICK_MS = 20;
@@ -20,6 +21,7 @@
 interface EngineParts {
   readonly kernel: DispatchKernel;
   readonly executor: TaskExecutor;
+  readonly broker: LimitBroker;
   readonly clock: Clock;
   readonly ring: EventRing;
   readonly metrics: StatsD;
@@ -99,6 +101,7 @@
   close(): void {
     clearInterval(this.ticker);
     this.parts.executor.close();
+    this.parts.broker.close();
   }
 
   private applyEffects(): void {
@@ -118,6 +121,12 @@
       case 'stop':
         void this.parts.executor.stopAttempt(effect);
         return;
+      case 'borrow':
+        void this.parts.broker.borrowPart(effect);
+        return;
+      case 'return-loan':
+        void this.parts.broker.returnPart(effect);
+        return;
       case 'job-ended':
         this.resolveWaiters(effect.job);
         return;
--- /dev/null
+++ b/packages/dispatcher/src/peers/limit-broker.ts
@@ -0,0 +1,86 @@
+import type { Interceptor } from '@connectrpc/connect';
+import type { EventRing } from '@guavaspindle/kernel/events/event-ring';
+import type { LoanId } from '@guavaspindle/kernel/ids/loan-id';
+import type { BorrowEffect } from '@guavaspindle/kernel/limits/borrow-effect';
+import type { LimitExchange } from '@guavaspindle/kernel/limits/limit-exchange';
+import type { LoanGrant } from '@guavaspindle/kernel/limits/loan-grant';
+import type { ReturnLoanEffect } from '@guavaspindle/kernel/limits/return-loan-effect';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import {
+  DispatcherService,
+  type BorrowLimitResponse,
+} from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
+import { ClientPool } from '@guavaspindle/runtime/control/client-pool';
+import type { PeerDirectory } from './peer-directory';
+
+/** A question is given up after this time; what was lent comes back by itself. */
+const ASK_TIMEOUT_MS = 300;
+
+/** What the broker works with. */
+interface LimitBrokerParts {
+  readonly limits: LimitExchange;
+  readonly clock: Clock;
+  readonly ring: EventRing;
+  readonly peers: PeerDirectory;
+  readonly interceptors: Interceptor[];
+}
+
+/** Reads a peer's answer; undefined if it lent nothing. */
+function readGrant({ loan, amount, termMs }: BorrowLimitResponse): LoanGrant | undefined {
+  if (loan === '' || amount === undefined) {
+    return undefined;
+  }
+  const { running, perSecond } = amount;
+  return { id: loan as LoanId, amount: { running, perSecond }, termMs };
+}
+
+/** Carries the kernel's questions and returns of parts of limits to the other dispatchers. */
+export class LimitBroker {
+  private readonly clients: ClientPool<typeof DispatcherService>;
+
+  constructor(private readonly parts: LimitBrokerParts) {
+    this.clients = new ClientPool(DispatcherService, parts.interceptors);
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.clients.close();
+  }
+
+  /** Asks a peer and tells the kernel what it lent. Never rejects. */
+  async borrowPart(asked: BorrowEffect): Promise<void> {
+    const grant = await this.askLender(asked);
+    this.parts.limits.adoptAnswer(asked, grant, this.parts.clock.now());
+    if (grant !== undefined && asked.request.renews === undefined) {
+      const { caller, kind } = asked.request;
+      const detail = { caller, kind, lender: asked.lender, ...grant.amount };
+      this.parts.ring.recordEvent({ type: 'limit-borrowed', detail });
+    }
+  }
+
+  /** Gives a part back. Never rejects: if the message is lost, the lender waits for the term. */
+  async returnPart({ lender, loan, caller, kind }: ReturnLoanEffect): Promise<void> {
+    const client = this.findClient(lender);
+    await client
+      ?.returnLimit({ loan, caller, kind }, { timeoutMs: ASK_TIMEOUT_MS })
+      .catch(() => undefined);
+  }
+
+  private async askLender({ lender, request }: BorrowEffect): Promise<LoanGrant | undefined> {
+    const { caller, kind, revision, wanted, holdsNone, renews } = request;
+    try {
+      const answer = await this.findClient(lender)?.borrowLimit(
+        { caller, kind, revision: BigInt(revision), wanted, holdsNone, renews: renews ?? '' },
+        { timeoutMs: ASK_TIMEOUT_MS },
+      );
+      return answer && readGrant(answer);
+    } catch {
+      return undefined;
+    }
+  }
+
+  private findClient(lender: string) {
+    const peer = this.parts.peers.listPeers().find(({ incarnation }) => incarnation === lender);
+    return peer && this.clients.getClient(peer.address);
+  }
+}
--- a/packages/dispatcher/src/service/dispatcher-server.ts
+++ b/packages/dispatcher/src/service/dispatcher-server.ts
@@ -4,6 +4,8 @@
 import type { DispatchKernel } from '@guavaspindle/kernel/dispatch/dispatch-kernel';
 import type { CallerName } from '@guavaspindle/kernel/ids/caller-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { KindName } from '@guavaspindle/kernel/ids/kind-name';
+import type { LoanId } from '@guavaspindle/kernel/ids/loan-id';
 import type { Problem } from '@guavaspindle/kernel/outcome/problem';
 import type { Job } from '@guavaspindle/kernel/submission/job';
 import type { TicketCheck } from '@guavaspindle/kernel/submission/ticket-check';
@@ -12,6 +14,8 @@
 import { computeKeyDigest } from '@guavaspindle/platform/ledger/compute-key-digest';
 import type { IdempotencyLedger } from '@guavaspindle/platform/ledger/idempotency-ledger';
 import type {
+  BorrowLimitRequest,
+  BorrowLimitResponseSchema,
   CancelJobReplySchema,
   CancelJobRequest,
   DispatcherService,
@@ -19,6 +23,7 @@
   JobReplySchema,
   MintTicketsRequest,
   ReportSlotsRequest,
+  ReturnLimitRequest,
   SubmitJobRequest,
 } from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
 import type { DispatchEngine } from '../dispatch-engine';
@@ -58,6 +63,35 @@
     return {};
   }
 
+  borrowLimit(request: BorrowLimitRequest): MessageInitShape<typeof BorrowLimitResponseSchema> {
+    const caller = request.caller as CallerName;
+    const kind = request.kind as KindName;
+    const { running, perSecond } = request.wanted ?? { running: 0, perSecond: 0 };
+    const grant = this.parts.kernel.limits.lendPart(
+      {
+        caller,
+        kind,
+        revision: Number(request.revision),
+        wanted: { running, perSecond },
+        holdsNone: request.holdsNone,
+        renews: request.renews === '' ? undefined : (request.renews as LoanId),
+      },
+      this.parts.clock.now(),
+    );
+    return grant === undefined
+      ? {}
+      : { loan: grant.id, amount: grant.amount, termMs: grant.termMs };
+  }
+
+  returnLimit({ loan, caller, kind }: ReturnLimitRequest): object {
+    this.parts.kernel.limits.takeBack({
+      loan: loan as LoanId,
+      caller: caller as CallerName,
+      kind: kind as KindName,
+    });
+    return {};
+  }
+
   async submitJob(request: SubmitJobRequest): Promise<JobReply> {
     return request.idempotencyKey === ''
       ? this.submitUnderTicket(request, request.ticket as JobId)
--- a/packages/kernel/src/dispatch/check-admission.ts
+++ b/packages/kernel/src/dispatch/check-admission.ts
@@ -36,11 +36,11 @@
 
 /** Refuses work beyond the caller's limits. */
 function checkLimits({ submission, flow }: AdmissionContext): Problem | undefined {
-  if (flow.maxRunning === 0 || flow.bucket.isClosed()) {
+  if (flow.limit.running === 0 || flow.limit.perSecond === 0) {
     return buildProblem(
       'over-limit',
       'not-run',
-      'This dispatcher holds no part of the limit for this caller and kind.',
+      'The table allows this caller no start of this kind here.',
       MIN_RETRY_AFTER_MS,
     );
   }
@@ -49,7 +49,7 @@
       'over-limit',
       'not-run',
       `The job would exceed maxQueued: ${flow.waiting} tasks wait and ${flow.maxWaiting} may.`,
-      Math.max(MIN_RETRY_AFTER_MS, flow.waitingWorkMs / flow.maxRunning),
+      Math.max(MIN_RETRY_AFTER_MS, flow.waitingWorkMs / flow.limit.running),
     );
   }
   return undefined;
--- a/packages/kernel/src/dispatch/dispatch-kernel.ts
+++ b/packages/kernel/src/dispatch/dispatch-kernel.ts
@@ -1,5 +1,7 @@
 import type { AttemptId } from '../ids/attempt-id';
 import type { JobId } from '../ids/job-id';
+import { LimitExchange } from '../limits/limit-exchange';
+import type { LoanRequest } from '../limits/loan-request';
 import type { AttemptOutcome } from '../outcome/attempt-outcome';
 import type { JobResult } from '../outcome/job-result';
 import type { Problem } from '../outcome/problem';
@@ -17,6 +19,7 @@
 import { computeOutcome } from '../submission/compute-outcome';
 import { countStarted } from '../submission/count-started';
 import type { Job } from '../submission/job';
+import { minLeaseMs } from '../submission/min-lease-ms';
 import { JobStore } from '../submission/job-store';
 import type { JobSubmission } from '../submission/job-submission';
 import type { TaskState } from '../submission/task-state';
@@ -33,9 +36,6 @@
 import type { RunningAttempt } from './running-attempt';
 import type { SubmitDecision } from './submit-decision';
 
-/** A lease is never shorter, so that a server can still answer a start sent near the deadline. */
-const MIN_LEASE_MS = 50;
-
 /**
  * Decides for one dispatcher what to start, where and when. It has no input or output of its own:
  * each method takes the time and queues effects, which the caller fetches with `takeEffects`.
@@ -44,6 +44,12 @@
  * that the attempt before did not run.
  */
 export class DispatchKernel {
+  /**
+   * Parts of limits that move between dispatchers; the peers' messages go here. What they change
+   * takes effect at the next call of `advanceTime`.
+   */
+  readonly limits: LimitExchange;
+
   private readonly jobs: JobStore;
 
   private readonly pool: ServerPool;
@@ -68,6 +74,11 @@
     this.jobs = new JobStore(options.retentionMs, options.maxAnswerBytes);
     this.pool = new ServerPool(options.placementPolicy, options.fleet);
     this.scheduler = new Scheduler(options.queuePolicy, options.domain, options.share);
+    this.limits = new LimitExchange(options.fleet.self, {
+      listFlows: () => this.scheduler.listFlows(),
+      findFlow: (request) => this.findFlow(request),
+      readRevision: () => this.readRevision(),
+    });
     this.attempts = new AttemptBook({
       pool: this.pool,
       scheduler: this.scheduler,
@@ -103,6 +114,10 @@
   /** Adopts what the other dispatchers of the failure domain report. */
   adoptFleet(fleet: FleetView, nowMs: number): void {
     this.pool.adoptFleet(fleet);
+    this.limits.adoptPeers(
+      fleet.peers.map((peer) => peer.incarnation),
+      nowMs,
+    );
     this.startTasks(nowMs);
   }
 
@@ -185,6 +200,8 @@
       this.effects.push({ type: 'stop', attempt: attempt.id, server: attempt.account.info });
     });
     this.startTasks(nowMs);
+    this.limits.advanceTime(nowMs);
+    this.effects.push(...this.limits.takeEffects());
   }
 
   /** Jobs that have not ended. */
@@ -212,6 +229,12 @@
     return this.table?.revision ?? 0;
   }
 
+  /** Finds the flow of a caller and kind; undefined if the table has no row for them. */
+  private findFlow({ caller, kind }: Pick<LoanRequest, 'caller' | 'kind'>): Flow | undefined {
+    const row = this.table && findRow(this.table, caller, kind, this.options.domain);
+    return row && this.scheduler.getFlow(caller, kind, row);
+  }
+
   private refuseJob(submission: JobSubmission, problem: Problem): SubmitDecision {
     this.recordEvent('submission-refused', submission.jobId, { code: problem.code });
     return { type: 'refused', problem };
@@ -278,7 +301,7 @@
     if (task.attempts === 1) {
       this.retryBudget.recordFirstAttempt();
     }
-    const leaseMs = Math.max(MIN_LEASE_MS, job.deadlineAtMs - nowMs);
+    const leaseMs = Math.max(minLeaseMs, job.deadlineAtMs - nowMs);
     this.effects.push({ type: 'start', attempt: id, job, task, server: account.info, leaseMs });
     this.recordEvent('task-started', job.id, { attempt: id, server: account.info.id });
   }
--- a/packages/kernel/src/dispatch/kernel-effect.ts
+++ b/packages/kernel/src/dispatch/kernel-effect.ts
@@ -1,5 +1,7 @@
 import type { AttemptId } from '../ids/attempt-id';
 import type { EventBody } from '../events/event-body';
+import type { BorrowEffect } from '../limits/borrow-effect';
+import type { ReturnLoanEffect } from '../limits/return-loan-effect';
 import type { ServerInfo } from '../placement/server-info';
 import type { Job } from '../submission/job';
 import type { Task } from '../submission/task';
@@ -17,4 +19,6 @@
     }
   | { readonly type: 'stop'; readonly attempt: AttemptId; readonly server: ServerInfo }
   | { readonly type: 'job-ended'; readonly job: Job }
-  | { readonly type: 'record'; readonly event: EventBody };
+  | { readonly type: 'record'; readonly event: EventBody }
+  | BorrowEffect
+  | ReturnLoanEffect;
--- a/packages/kernel/src/events/event-body.ts
+++ b/packages/kernel/src/events/event-body.ts
@@ -23,6 +23,7 @@
   | 'job-cancelled'
   | 'server-ejected'
   | 'server-leaving'
+  | 'limit-borrowed'
   | 'table-adopted'
   | 'member-joined'
   | 'member-left'
--- a/packages/kernel/src/limits/token-bucket.ts
+++ b/packages/kernel/src/limits/token-bucket.ts
@@ -10,17 +10,18 @@
 
   constructor(private perSecond: number) {}
 
-  /** Changes the rate; saved tokens are cut to the new burst. */
-  setRate(perSecond: number): void {
+  /** Changes the rate: earns tokens at the old rate until now, then cuts them to the new burst. */
+  setRate(perSecond: number, nowMs: number): void {
+    if (perSecond === this.perSecond) {
+      return;
+    }
+    if (this.refilledAtMs !== undefined) {
+      this.refillTokens(nowMs);
+    }
     this.perSecond = perSecond;
     this.tokens = Math.min(this.tokens, this.computeBurst());
   }
 
-  /** Tells whether the rate allows no start ever. */
-  isClosed(): boolean {
-    return this.perSecond <= 0;
-  }
-
   /** Tells whether a token could be taken now. */
   hasToken(nowMs: number): boolean {
     this.refillTokens(nowMs);
--- a/packages/kernel/src/queue/demand-tracker.ts
+++ b/packages/kernel/src/queue/demand-tracker.ts
@@ -1,4 +1,4 @@
-/** Tracks how many slots arriving work needs: an exponentially weighted mean over recent time. */
+/** Tracks work for each unit of time: an exponentially weighted mean over recent time. */
 export class DemandTracker {
   private slots = 0;
 
@@ -11,13 +11,13 @@
    */
   constructor(private readonly timeConstantMs: number) {}
 
-  /** Records that work of so many milliseconds of slot time arrived. */
+  /** Records work, such as milliseconds of slot time. */
   recordWork(workMs: number, nowMs: number): void {
     this.slots = this.computeSlots(nowMs) + workMs / this.timeConstantMs;
     this.atMs = nowMs;
   }
 
-  /** Computes how many slots the recent arrivals keep busy. */
+  /** Computes the recent work for each millisecond; for slot time, how many slots it keeps busy. */
   computeSlots(nowMs: number): number {
     const elapsedMs = Math.max(0, nowMs - this.atMs);
     return this.slots * Math.exp(-elapsedMs / this.timeConstantMs);
--- a/packages/kernel/src/queue/flow.ts
+++ b/packages/kernel/src/queue/flow.ts
@@ -1,15 +1,29 @@
 import type { CallerName } from '../ids/caller-name';
 import type { KindName } from '../ids/kind-name';
+import type { LimitAmount } from '../limits/limit-amount';
+import { LimitHoldings } from '../limits/limit-holdings';
 import { TokenBucket } from '../limits/token-bucket';
 import type { Job } from '../submission/job';
+import { DemandTracker } from './demand-tracker';
 import { MinHeap } from './min-heap';
 import type { RunClass } from './run-class';
 
+const MS_PER_SECOND = 1_000;
+/** Starts that long ago count 1/e of new ones in the rate. */
+const START_MEMORY_MS = 300;
+
 /** One caller's tasks of one kind: the unit of weights and limits. */
 export class Flow {
   weight = 1;
 
-  maxRunning = 0;
+  /** What the row allows in the whole failure domain. */
+  limit: LimitAmount = { running: 0, perSecond: 0 };
+
+  /** A backend server may hold a task of this flow for so long, in milliseconds. */
+  maxLeaseMs = 0;
+
+  /** This dispatcher's part of the limit. */
+  readonly holdings = new LimitHoldings();
 
   /** Attempts of this flow that hold a slot. */
   running = 0;
@@ -28,6 +42,8 @@
 
   readonly bucket = new TokenBucket(0);
 
+  private readonly starts = new DemandTracker(START_MEMORY_MS);
+
   private readonly shortJobs = new MinHeap<Job>((job) => job.orderKey);
 
   private readonly longJobs = new MinHeap<Job>((job) => job.orderKey);
@@ -39,7 +55,30 @@
 
   /** Tells whether the limits allow another start now. */
   canStart(nowMs: number): boolean {
-    return this.waiting > 0 && this.running < this.maxRunning && this.bucket.hasToken(nowMs);
+    if (this.waiting === 0) {
+      return false;
+    }
+    const { running } = this.applyLimits(nowMs);
+    return this.running < running && this.bucket.hasToken(nowMs);
+  }
+
+  /** Brings the rate up to date with the part held now, and returns that part. */
+  applyLimits(nowMs: number): LimitAmount {
+    const held = this.holdings.computeHeld(nowMs);
+    this.bucket.setRate(held.perSecond, nowMs);
+    return held;
+  }
+
+  /** Counts a start against the limits. */
+  recordStart(nowMs: number): void {
+    this.running += 1;
+    this.bucket.takeToken(nowMs);
+    this.starts.recordWork(1, nowMs);
+  }
+
+  /** Computes how many starts a second there were lately. */
+  computeRate(nowMs: number): number {
+    return this.starts.computeSlots(nowMs) * MS_PER_SECOND;
   }
 
   /** Adds a job to the heaps of the classes in which it has waiting tasks. */
--- a/packages/kernel/src/queue/scheduler.ts
+++ b/packages/kernel/src/queue/scheduler.ts
@@ -8,6 +8,7 @@
 import { findRow } from '../table/find-row';
 import type { OperatorsTable } from '../table/operators-table';
 import type { TableRow } from '../table/table-row';
+import { minLeaseMs } from '../submission/min-lease-ms';
 import { Flow } from './flow';
 import { LongCap } from './long-cap';
 import type { QueuePolicy } from './queue-policy';
@@ -49,6 +50,11 @@
     return flow;
   }
 
+  /** All flows that have had work or lent a part of their limits. */
+  listFlows(): Iterable<Flow> {
+    return this.flows.values();
+  }
+
   /** Puts all tasks of an accepted job into its flow's queue. */
   addJob(flow: Flow, job: Job): void {
     if (flow.waiting === 0) {
@@ -99,8 +105,7 @@
     Scheduler.listWaiting(job, runClass).pop();
     job.waitingWorkMs -= task.estimateMs;
     this.changeWaiting(flow, -1, -task.estimateMs);
-    flow.running += 1;
-    flow.bucket.takeToken(nowMs);
+    flow.recordStart(nowMs);
     this.longRunning += runClass === 'long' ? 1 : 0;
     this.policy.chargeStart(flow, task.estimateMs);
   }
@@ -187,9 +192,15 @@
 
   private applyRow(flow: Flow, row: TableRow | undefined): void {
     const { index, count } = this.share;
+    const running = row?.maxRunning ?? 0;
+    const perSecond = row?.startsPerSecond ?? 0;
     flow.weight = row?.weight ?? 1;
-    flow.maxRunning = divideLimit(row?.maxRunning ?? 0, index, count);
+    flow.limit = { running, perSecond };
+    flow.maxLeaseMs = Math.max(minLeaseMs, row?.deadlineMs ?? 0);
+    flow.holdings.setBase({
+      running: divideLimit(running, index, count),
+      perSecond: perSecond / count,
+    });
     flow.maxWaiting = divideLimit(row?.maxQueued ?? 0, index, count);
-    flow.bucket.setRate((row?.startsPerSecond ?? 0) / count);
   }
 }
