--- a/packages/ctl/src/commands/table-import-command.ts
+++ b/packages/ctl/src/commands/table-import-command.ts
@@ -1,7 +1,6 @@
-import { readFileSync } from 'node:fs';
 import { Command, Option } from 'clipanion';
 import { exitCodes } from '../exit-codes';
-import { parseCsv } from '../table/parse-csv';
+import { readCsvFile } from '../table/read-csv-file';
 import { TableEditCommand } from './table-edit-command';
 
 /** Writes the rows of a CSV file into the table. */
@@ -21,9 +20,9 @@
   });
 
   override async execute(): Promise<number> {
-    const read = this.readRows();
-    if ('problem' in read) {
-      this.context.stderr.write(`${this.file}: ${read.problem}\n`);
+    const read = readCsvFile(this.file);
+    if (read.isErr()) {
+      this.context.stderr.write(`${read.error}\n`);
       return exitCodes.usage;
     }
     const present = await this.readRevision();
@@ -32,7 +31,7 @@
     }
     const seen = this.seen ?? String(present.revision);
     let { revision } = present;
-    for (const { rowId, ...cells } of read.rows) {
+    for (const { rowId, ...cells } of read.value) {
       // eslint-disable-next-line no-await-in-loop -- rows are written one after the other
       const asked = await this.askAgent('PUT', `/v1/table/rows/${rowId}`, {
         body: cells,
@@ -46,17 +45,4 @@
     }
     return this.reportRevision(revision);
   }
-
-  private readRows(): { rows: Record<string, string | number>[] } | { problem: string } {
-    try {
-      return parseCsv(readFileSync(this.file, 'utf8')).match<
-        { rows: Record<string, string | number>[] } | { problem: string }
-      >(
-        (rows) => ({ rows }),
-        (problem) => ({ problem }),
-      );
-    } catch (error) {
-      return { problem: `cannot be read (${(error as Error).message})` };
-    }
-  }
 }
--- a/packages/ctl/src/commands/timeline-command.ts
+++ b/packages/ctl/src/commands/timeline-command.ts
@@ -1,15 +1,11 @@
 import { Command, Option } from 'clipanion';
 import { exitCodes } from '../exit-codes';
+import type { TimelineEvent } from '../jobs/timeline-event';
 import { AgentCommand } from './agent-command';
 
 /** The merged time line as an agent sends it. */
 interface Timeline {
-  readonly events: readonly {
-    readonly wallMs: number;
-    readonly process: string;
-    readonly type: string;
-    readonly detail: Readonly<Record<string, unknown>>;
-  }[];
+  readonly events: readonly TimelineEvent[];
   readonly unreachable: readonly string[];
 }
 
--- a/packages/ctl/src/exit-codes.ts
+++ b/packages/ctl/src/exit-codes.ts
@@ -11,4 +11,6 @@
   conflict: 4,
   /** Not all processes had adopted the table in time. */
   notAdopted: 5,
+  /** A file differs from the present table. */
+  differs: 6,
 } as const;
