Split the kernel and the exchange of limits by duty

Ruled out: moving code without new names for the duties.

Change: effects, the ending of jobs and the outcomes of attempts are classes of their own; lender and borrower of limits are apart. No behaviour changes.

--- a/packages/dispatcher/src/build-dispatcher.ts
+++ b/packages/dispatcher/src/build-dispatcher.ts
@@ -61,7 +61,7 @@
   });
   const peers = new PeerDirectory(incarnation, domain);
   const broker = new LimitBroker({
-    limits: kernel.limits,
+    borrower: kernel.borrower,
     clock,
     ring,
     peers,
--- a/packages/dispatcher/src/peers/limit-broker.ts
+++ b/packages/dispatcher/src/peers/limit-broker.ts
@@ -2,7 +2,7 @@
 import type { EventRing } from '@guavaspindle/kernel/events/event-ring';
 import type { LoanId } from '@guavaspindle/kernel/ids/loan-id';
 import type { BorrowEffect } from '@guavaspindle/kernel/limits/borrow-effect';
-import type { LimitExchange } from '@guavaspindle/kernel/limits/limit-exchange';
+import type { LimitBorrower } from '@guavaspindle/kernel/limits/limit-borrower';
 import type { LoanGrant } from '@guavaspindle/kernel/limits/loan-grant';
 import type { ReturnLoanEffect } from '@guavaspindle/kernel/limits/return-loan-effect';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
@@ -18,7 +18,7 @@
 
 /** What the broker works with. */
 interface LimitBrokerParts {
-  readonly limits: LimitExchange;
+  readonly borrower: LimitBorrower;
   readonly clock: Clock;
   readonly ring: EventRing;
   readonly peers: PeerDirectory;
@@ -50,7 +50,7 @@
   /** Asks a peer and tells the kernel what it lent. Never rejects. */
   async borrowPart(asked: BorrowEffect): Promise<void> {
     const grant = await this.askLender(asked);
-    this.parts.limits.adoptAnswer(asked, grant, this.parts.clock.now());
+    this.parts.borrower.adoptAnswer(asked, grant, this.parts.clock.now());
     if (grant !== undefined && asked.request.renews === undefined) {
       const { caller, kind } = asked.request;
       const detail = { caller, kind, lender: asked.lender, ...grant.amount };
--- a/packages/kernel/src/dispatch/dispatch-kernel.ts
+++ b/packages/kernel/src/dispatch/dispatch-kernel.ts
@@ -1,9 +1,9 @@
 import type { AttemptId } from '../ids/attempt-id';
 import type { JobId } from '../ids/job-id';
-import { LimitExchange } from '../limits/limit-exchange';
-import type { LoanRequest } from '../limits/loan-request';
+import type { FlowSource } from '../limits/flow-source';
+import { LimitBorrower } from '../limits/limit-borrower';
+import { LimitLender } from '../limits/limit-lender';
 import type { AttemptOutcome } from '../outcome/attempt-outcome';
-import type { JobResult } from '../outcome/job-result';
 import type { Problem } from '../outcome/problem';
 import type { FleetView } from '../placement/fleet-view';
 import type { ServerAccount } from '../placement/server-account';
@@ -12,7 +12,6 @@
 import { RetryBudget } from '../policy/retry-budget';
 import { RunTimeEstimator } from '../policy/run-time-estimator';
 import type { Flow } from '../queue/flow';
-import { MinHeap } from '../queue/min-heap';
 import { Scheduler } from '../queue/scheduler';
 import type { TaskPick } from '../queue/task-pick';
 import { buildJob } from '../submission/build-job';
@@ -22,7 +21,6 @@
 import { minLeaseMs } from '../submission/min-lease-ms';
 import { JobStore } from '../submission/job-store';
 import type { JobSubmission } from '../submission/job-submission';
-import type { TaskState } from '../submission/task-state';
 import { findRow } from '../table/find-row';
 import type { OperatorsTable } from '../table/operators-table';
 import type { TableRow } from '../table/table-row';
@@ -30,10 +28,12 @@
 import { buildNoRowProblem } from './build-no-row-problem';
 import { buildProblem } from './build-problem';
 import { checkAdmission } from './check-admission';
+import { EffectQueue } from './effect-queue';
 import { findSubmitted } from './find-submitted';
+import { JobEnder } from './job-ender';
 import type { KernelEffect } from './kernel-effect';
 import type { KernelOptions } from './kernel-options';
-import type { RunningAttempt } from './running-attempt';
+import { OutcomeApplier } from './outcome-applier';
 import type { SubmitDecision } from './submit-decision';
 
 /**
@@ -44,11 +44,11 @@
  * that the attempt before did not run.
  */
 export class DispatchKernel {
-  /**
-   * Parts of limits that move between dispatchers; the peers' messages go here. What they change
-   * takes effect at the next call of `advanceTime`.
-   */
-  readonly limits: LimitExchange;
+  /** Answers peers that ask for parts of limits. */
+  readonly lender: LimitLender;
+
+  /** Takes the peers' answers; what they lent is used from the next `advanceTime` on. */
+  readonly borrower: LimitBorrower;
 
   private readonly jobs: JobStore;
 
@@ -62,9 +62,11 @@
 
   private readonly attempts: AttemptBook;
 
-  private readonly deadlines = new MinHeap<Job>((job) => job.deadlineAtMs);
+  private readonly effects = new EffectQueue();
+
+  private readonly ender: JobEnder;
 
-  private effects: KernelEffect[] = [];
+  private readonly applier: OutcomeApplier;
 
   private table: OperatorsTable | undefined;
 
@@ -74,24 +76,23 @@
     this.jobs = new JobStore(options.retentionMs, options.maxAnswerBytes);
     this.pool = new ServerPool(options.placementPolicy, options.fleet);
     this.scheduler = new Scheduler(options.queuePolicy, options.domain, options.share);
-    this.limits = new LimitExchange(options.fleet.self, {
-      listFlows: () => this.scheduler.listFlows(),
-      findFlow: (request) => this.findFlow(request),
-      readRevision: () => this.readRevision(),
-    });
+    const flows = this.buildFlowSource();
+    this.lender = new LimitLender(options.fleet.self, flows);
+    this.borrower = new LimitBorrower(flows);
     this.attempts = new AttemptBook({
       pool: this.pool,
       scheduler: this.scheduler,
       estimator: this.estimator,
-      reportEjection: (server) => this.recordEvent('server-ejected', undefined, { server }),
+      reportEjection: (server) => this.effects.recordEvent('server-ejected', undefined, { server }),
     });
+    const { jobs, scheduler, attempts, retryBudget, effects } = this;
+    this.ender = new JobEnder({ jobs, scheduler, attempts, effects });
+    this.applier = new OutcomeApplier({ scheduler, retryBudget, effects, ender: this.ender });
   }
 
   /** Returns the effects queued since the last call. */
   takeEffects(): KernelEffect[] {
-    const taken = this.effects;
-    this.effects = [];
-    return taken;
+    return this.effects.takeEffects();
   }
 
   /** Adopts a table if its revision is higher than the one in force. */
@@ -101,7 +102,7 @@
     }
     this.table = table;
     this.scheduler.adoptTable(table);
-    this.recordEvent('table-adopted', undefined, { revision: table.revision });
+    this.effects.recordEvent('table-adopted', undefined, { revision: table.revision });
     this.startTasks(nowMs);
   }
 
@@ -114,7 +115,7 @@
   /** Adopts what the other dispatchers of the failure domain report. */
   adoptFleet(fleet: FleetView, nowMs: number): void {
     this.pool.adoptFleet(fleet);
-    this.limits.adoptPeers(
+    this.borrower.adoptPeers(
       fleet.peers.map((peer) => peer.incarnation),
       nowMs,
     );
@@ -126,14 +127,14 @@
     const found = this.pool.findAccount(account.id);
     if (found !== undefined && !found.isLeaving()) {
       found.markLeaving();
-      this.recordEvent('server-leaving', undefined, { server: account.id });
+      this.effects.recordEvent('server-leaving', undefined, { server: account.id });
     }
   }
 
   /** Refuses new submissions from now on; accepted ones go on. */
   beginDrain(): void {
     this.draining = true;
-    this.recordEvent('drain-started', undefined, {});
+    this.effects.recordEvent('drain-started', undefined, {});
   }
 
   /** Accepts, recognises or refuses a submission whose ticket has this number. */
@@ -172,8 +173,8 @@
   cancelJob(job: Job, nowMs: number): number {
     const started = job.startedAtEnd ?? countStarted(job);
     if (job.result === undefined) {
-      this.recordEvent('job-cancelled', job.id, { started });
-      this.failJob(job, nowMs, 'cancelled', `Cancelled after ${started} tasks had started.`);
+      this.effects.recordEvent('job-cancelled', job.id, { started });
+      this.ender.failJob(job, nowMs, 'cancelled', `Cancelled after ${started} tasks had started.`);
       this.startTasks(nowMs);
     }
     return started;
@@ -186,22 +187,22 @@
       return;
     }
     if (attempt.job.result === undefined) {
-      this.applyOutcome(attempt, outcome, nowMs);
+      this.applier.applyOutcome(attempt, outcome, nowMs);
     }
     this.startTasks(nowMs);
   }
 
   /** Does what is due by time: deadlines, overruns, stops, forgetting and delayed starts. */
   advanceTime(nowMs: number): void {
-    this.endOverdueJobs(nowMs);
+    this.ender.endOverdueJobs(nowMs);
     this.attempts.reclassOverruns(nowMs);
     this.jobs.forgetAnswers(nowMs);
     this.attempts.takeDueStops(nowMs).forEach((attempt) => {
-      this.effects.push({ type: 'stop', attempt: attempt.id, server: attempt.account.info });
+      this.effects.addEffects({ type: 'stop', attempt: attempt.id, server: attempt.account.info });
     });
     this.startTasks(nowMs);
-    this.limits.advanceTime(nowMs);
-    this.effects.push(...this.limits.takeEffects());
+    this.borrower.advanceTime(nowMs);
+    this.effects.addEffects(...this.borrower.takeEffects());
   }
 
   /** Jobs that have not ended. */
@@ -229,14 +230,19 @@
     return this.table?.revision ?? 0;
   }
 
-  /** Finds the flow of a caller and kind; undefined if the table has no row for them. */
-  private findFlow({ caller, kind }: Pick<LoanRequest, 'caller' | 'kind'>): Flow | undefined {
-    const row = this.table && findRow(this.table, caller, kind, this.options.domain);
-    return row && this.scheduler.getFlow(caller, kind, row);
+  private buildFlowSource(): FlowSource {
+    return {
+      listFlows: () => this.scheduler.listFlows(),
+      findFlow: ({ caller, kind }) => {
+        const row = this.table && findRow(this.table, caller, kind, this.options.domain);
+        return row && this.scheduler.getFlow(caller, kind, row);
+      },
+      readRevision: () => this.readRevision(),
+    };
   }
 
   private refuseJob(submission: JobSubmission, problem: Problem): SubmitDecision {
-    this.recordEvent('submission-refused', submission.jobId, { code: problem.code });
+    this.effects.recordEvent('submission-refused', submission.jobId, { code: problem.code });
     return { type: 'refused', problem };
   }
 
@@ -263,9 +269,9 @@
       return this.refuseJob(submission, problem);
     }
     this.jobs.addJob(job, number);
-    this.deadlines.pushItem(job);
+    this.ender.watchDeadline(job);
     scheduler.addJob(flow, job);
-    this.recordEvent('submission-accepted', job.id, { tasks: job.tasks.length });
+    this.effects.recordEvent('submission-accepted', job.id, { tasks: job.tasks.length });
     this.startTasks(nowMs);
     return { type: 'accepted', job };
   }
@@ -282,7 +288,7 @@
       if (account === undefined) {
         skipped.add(pick.flow);
       } else if (DispatchKernel.isHopeless(pick, nowMs)) {
-        this.failJob(pick.job, nowMs, 'no-capacity', 'No slot became free in time.');
+        this.ender.failJob(pick.job, nowMs, 'no-capacity', 'No slot became free in time.');
       } else {
         this.startTask(pick, account, nowMs);
       }
@@ -302,113 +308,14 @@
       this.retryBudget.recordFirstAttempt();
     }
     const leaseMs = Math.max(minLeaseMs, job.deadlineAtMs - nowMs);
-    this.effects.push({ type: 'start', attempt: id, job, task, server: account.info, leaseMs });
-    this.recordEvent('task-started', job.id, { attempt: id, server: account.info.id });
-  }
-
-  private applyOutcome(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
-    const { job, task, flow, id } = attempt;
-    switch (outcome.type) {
-      case 'answered':
-        task.state = { type: 'answered', answerJson: outcome.answerJson };
-        job.answered += 1;
-        this.recordEvent('task-answered', job.id, { attempt: id });
-        this.completeJob(job, nowMs);
-        return;
-      case 'not-run':
-        task.state = { type: 'waiting' };
-        this.scheduler.returnTask(flow, job, task, attempt.runClass);
-        this.recordEvent('task-not-run', job.id, { attempt: id, cause: outcome.cause });
-        return;
-      case 'failed':
-        this.recordEvent('task-failed', job.id, { attempt: id });
-        this.retryOrFail(attempt, { type: 'failed' }, outcome.detail, nowMs);
-        return;
-      case 'unknown':
-        this.recordEvent('task-unknown', job.id, { attempt: id, reason: outcome.detail });
-        this.retryOrFail(attempt, { type: 'unknown' }, outcome.detail, nowMs);
-        return;
-      default:
-        outcome satisfies never;
-    }
-  }
-
-  /** Tries a single idempotent request again within the retry budget; anything else fails. */
-  private retryOrFail(
-    attempt: RunningAttempt,
-    state: Extract<TaskState, { type: 'failed' | 'unknown' }>,
-    detail: string,
-    nowMs: number,
-  ): void {
-    const { job, task, flow } = attempt;
-    task.mayHaveRun = true;
-    if (job.idempotent && this.retryBudget.takeRetry()) {
-      task.state = { type: 'waiting' };
-      this.scheduler.returnTask(flow, job, task, attempt.runClass);
-      return;
-    }
-    task.state = state;
-    const code = state.type === 'failed' ? 'task-failed' : 'outcome-unknown';
-    this.failJob(job, nowMs, code, `Task ${task.index}: ${detail}.`);
-  }
-
-  private completeJob(job: Job, nowMs: number): void {
-    if (job.answered < job.tasks.length) {
-      return;
-    }
-    const answersJson = job.tasks.map((task) => {
-      if (task.state.type !== 'answered') {
-        throw new Error(`Job ${job.id} counts more answers than it has.`);
-      }
-      return task.state.answerJson;
+    this.effects.addEffects({
+      type: 'start',
+      attempt: id,
+      job,
+      task,
+      server: account.info,
+      leaseMs,
     });
-    this.endJob(job, { type: 'complete', answersJson }, nowMs);
-  }
-
-  private failJob(
-    job: Job,
-    nowMs: number,
-    code: 'cancelled' | 'deadline-exceeded' | 'task-failed' | 'outcome-unknown' | 'no-capacity',
-    detail: string,
-  ): void {
-    const problem = buildProblem(code, computeOutcome(job.tasks), detail);
-    this.scheduler.dropJob(job);
-    this.attempts.stopTasks(job);
-    this.endJob(job, { type: 'problem', problem }, nowMs);
-  }
-
-  private endJob(job: Job, result: JobResult, nowMs: number): void {
-    job.startedAtEnd = countStarted(job);
-    job.result = result;
-    job.tasks = [];
-    this.jobs.endJob(job, nowMs);
-    const outcome = result.type === 'complete' ? 'complete' : result.problem.outcome;
-    this.recordEvent('job-ended', job.id, {
-      outcome,
-      tookMs: Math.round(nowMs - job.acceptedAtMs),
-    });
-    this.effects.push({ type: 'job-ended', job });
-  }
-
-  private endOverdueJobs(nowMs: number): void {
-    for (;;) {
-      const job = this.deadlines.peekItem();
-      if (job === undefined || (job.result === undefined && job.deadlineAtMs > nowMs)) {
-        return;
-      }
-      this.deadlines.popItem();
-      if (job.result === undefined) {
-        this.failJob(job, nowMs, 'deadline-exceeded', 'The deadline passed before all answers.');
-      }
-    }
-  }
-
-  private recordEvent(
-    type: Extract<KernelEffect, { type: 'record' }>['event']['type'],
-    jobId: JobId | undefined,
-    detail: Readonly<Record<string, string | number | boolean>>,
-  ): void {
-    const event = { type, detail, ...(jobId === undefined ? {} : { jobId }) };
-    this.effects.push({ type: 'record', event });
+    this.effects.recordEvent('task-started', job.id, { attempt: id, server: account.info.id });
   }
 }
--- /dev/null
+++ b/packages/kernel/src/dispatch/job-ender.ts
@@ -0,0 +1,84 @@
+import type { JobResult } from '../outcome/job-result';
+import { MinHeap } from '../queue/min-heap';
+import type { Scheduler } from '../queue/scheduler';
+import { computeOutcome } from '../submission/compute-outcome';
+import { countStarted } from '../submission/count-started';
+import type { Job } from '../submission/job';
+import type { JobStore } from '../submission/job-store';
+import type { AttemptBook } from './attempt-book';
+import { buildProblem } from './build-problem';
+import type { EffectQueue } from './effect-queue';
+
+/** What is told of a job that ends. */
+interface JobEnderParts {
+  readonly jobs: JobStore;
+  readonly scheduler: Scheduler;
+  readonly attempts: AttemptBook;
+  readonly effects: EffectQueue;
+}
+
+/** Ends jobs: complete, failed or late. A job ends once, with all its answers or with a problem. */
+export class JobEnder {
+  private readonly deadlines = new MinHeap<Job>((job) => job.deadlineAtMs);
+
+  constructor(private readonly parts: JobEnderParts) {}
+
+  /** Ends the job at its deadline, unless it has ended before. */
+  watchDeadline(job: Job): void {
+    this.deadlines.pushItem(job);
+  }
+
+  /** Ends a job whose last answer has come; does nothing before. */
+  completeJob(job: Job, nowMs: number): void {
+    if (job.answered < job.tasks.length) {
+      return;
+    }
+    const answersJson = job.tasks.map((task) => {
+      if (task.state.type !== 'answered') {
+        throw new Error(`Job ${job.id} counts more answers than it has.`);
+      }
+      return task.state.answerJson;
+    });
+    this.endJob(job, { type: 'complete', answersJson }, nowMs);
+  }
+
+  /** Ends a job with a problem; tasks that run for nothing are stopped. */
+  failJob(
+    job: Job,
+    nowMs: number,
+    code: 'cancelled' | 'deadline-exceeded' | 'task-failed' | 'outcome-unknown' | 'no-capacity',
+    detail: string,
+  ): void {
+    const problem = buildProblem(code, computeOutcome(job.tasks), detail);
+    this.parts.scheduler.dropJob(job);
+    this.parts.attempts.stopTasks(job);
+    this.endJob(job, { type: 'problem', problem }, nowMs);
+  }
+
+  /** Ends the jobs whose deadline has passed. */
+  endOverdueJobs(nowMs: number): void {
+    for (;;) {
+      const job = this.deadlines.peekItem();
+      if (job === undefined || (job.result === undefined && job.deadlineAtMs > nowMs)) {
+        return;
+      }
+      this.deadlines.popItem();
+      if (job.result === undefined) {
+        this.failJob(job, nowMs, 'deadline-exceeded', 'The deadline passed before all answers.');
+      }
+    }
+  }
+
+  private endJob(job: Job, result: JobResult, nowMs: number): void {
+    job.startedAtEnd = countStarted(job);
+    job.result = result;
+    job.tasks = [];
+    this.parts.jobs.endJob(job, nowMs);
+    const outcome = result.type === 'complete' ? 'complete' : result.problem.outcome;
+    this.parts.effects.recordEvent('job-ended', job.id, {
+      outcome,
+      tookMs: Math.round(nowMs - job.acceptedAtMs),
+    });
+    this.parts.effects.addEffects({ type: 'job-ended', job });
+  }
+}
--- /dev/null
+++ b/packages/kernel/src/dispatch/outcome-applier.ts
@@ -0,0 +1,76 @@
+import type { AttemptOutcome } from '../outcome/attempt-outcome';
+import type { RetryBudget } from '../policy/retry-budget';
+import type { Scheduler } from '../queue/scheduler';
+import type { TaskState } from '../submission/task-state';
+import type { EffectQueue } from './effect-queue';
+import type { JobEnder } from './job-ender';
+import type { RunningAttempt } from './running-attempt';
+
+/** What an outcome changes. */
+interface OutcomeApplierParts {
+  readonly scheduler: Scheduler;
+  readonly retryBudget: RetryBudget;
+  readonly effects: EffectQueue;
+  readonly ender: JobEnder;
+}
+
+/**
+ * Applies the outcomes of attempts to jobs that have not ended. A task waits again only after proof
+ * that it did not run, or if it is an idempotent request and the retry budget allows it.
+ */
+export class OutcomeApplier {
+  constructor(private readonly parts: OutcomeApplierParts) {}
+
+  /** Applies an outcome to its task and job. */
+  applyOutcome(attempt: RunningAttempt, outcome: AttemptOutcome, nowMs: number): void {
+    const { job, task, flow, id } = attempt;
+    switch (outcome.type) {
+      case 'answered':
+        task.state = { type: 'answered', answerJson: outcome.answerJson };
+        job.answered += 1;
+        this.parts.effects.recordEvent('task-answered', job.id, { attempt: id });
+        this.parts.ender.completeJob(job, nowMs);
+        return;
+      case 'not-run':
+        task.state = { type: 'waiting' };
+        this.parts.scheduler.returnTask(flow, job, task, attempt.runClass);
+        this.parts.effects.recordEvent('task-not-run', job.id, {
+          attempt: id,
+          cause: outcome.cause,
+        });
+        return;
+      case 'failed':
+        this.parts.effects.recordEvent('task-failed', job.id, { attempt: id });
+        this.retryOrFail(attempt, { type: 'failed' }, outcome.detail, nowMs);
+        return;
+      case 'unknown':
+        this.parts.effects.recordEvent('task-unknown', job.id, {
+          attempt: id,
+          reason: outcome.detail,
+        });
+        this.retryOrFail(attempt, { type: 'unknown' }, outcome.detail, nowMs);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  }
+
+  /** Tries a single idempotent request again within the retry budget; anything else fails. */
+  private retryOrFail(
+    attempt: RunningAttempt,
+    state: Extract<TaskState, { type: 'failed' | 'unknown' }>,
+    detail: string,
+    nowMs: number,
+  ): void {
+    const { job, task, flow } = attempt;
+    task.mayHaveRun = true;
+    if (job.idempotent && this.parts.retryBudget.takeRetry()) {
+      task.state = { type: 'waiting' };
+      this.parts.scheduler.returnTask(flow, job, task, attempt.runClass);
+      return;
+    }
+    task.state = state;
+    const code = state.type === 'failed' ? 'task-failed' : 'outcome-unknown';
+    this.parts.ender.failJob(job, nowMs, code, `Task ${task.index}: ${detail}.`);
+  }
+}
