--- a/packages/kernel/src/dispatch/attempt-book.ts
+++ b/packages/kernel/src/dispatch/attempt-book.ts
@@ -33,8 +33,7 @@
     task.attempts += 1;
     const id = `${task.id}/${task.attempts}` as AttemptId;
     task.state = { type: 'started', attempt: id, server: account.info.id };
-    account.running += 1;
-    account.health.recordStart();
+    account.recordStart(nowMs);
     const attempt = { id, job, task, flow, account, startedAtMs: nowMs, runClass };
     this.attempts.set(id, attempt);
     return attempt;
--- a/packages/kernel/src/placement/assigned-placement.ts
+++ b/packages/kernel/src/placement/assigned-placement.ts
@@ -14,6 +14,12 @@
   return fleet.peers.reduce((sum, peer) => sum + (peer.usedSlots.get(server.id) ?? 0), 0);
 }
 
+/** Prefers more free slots; among equals the server that waited longest, so that all take turns. */
+function isBetter(next: ServerAccount, best: ServerAccount): boolean {
+  const more = next.countFree() - best.countFree();
+  return more > 0 || (more === 0 && next.startedAtMs < best.startedAtMs);
+}
+
 /**
  * Assigns each server to one dispatcher: the one that ranks first for it by rendezvous hash and
  * has not got its even part of the servers yet. The others use a server's slots only while more
@@ -37,7 +43,7 @@
 
   // eslint-disable-next-line class-methods-use-this -- part of the policy interface
   chooseServer(usable: readonly ServerAccount[]): ServerAccount {
-    return usable.reduce((best, next) => (next.countFree() > best.countFree() ? next : best));
+    return usable.reduce((best, next) => (isBetter(next, best) ? next : best));
   }
 }
 
--- a/packages/kernel/src/placement/server-account.ts
+++ b/packages/kernel/src/placement/server-account.ts
@@ -14,6 +14,9 @@
   /** Slots that this dispatcher may fill. */
   allowance = 0;
 
+  /** When this dispatcher last sent a start, in milliseconds. */
+  startedAtMs = -Infinity;
+
   private pausedUntilMs = -Infinity;
 
   private leftByOwnReply = false;
@@ -43,6 +46,13 @@
     this.leftByOwnReply = true;
   }
 
+  /** Notes that a start was sent. */
+  recordStart(nowMs: number): void {
+    this.running += 1;
+    this.startedAtMs = nowMs;
+    this.health.recordStart();
+  }
+
   /** Notes a refusal for lack of slots. */
   pauseStarts(nowMs: number): void {
     this.pausedUntilMs = nowMs + BUSY_PAUSE_MS;
