Name broken invariants in the log before the process stops

Cause: an exception that nobody caught ended a process with a bare stack on stderr; the log, which operators collect, did not say why. verror was listed and unused.

Ruled out: going on after such an exception; a job's promise may be broken.

Change: broken invariants are VErrors with ids and counts; every binary logs an uncaught one as fatal and exits with 70.

Measured: two tests with a fake process.

--- a/packages/dispatcher/src/dispatch-engine.ts
+++ b/packages/dispatcher/src/dispatch-engine.ts
@@ -1,3 +1,4 @@
+import { buildInvariantError } from '@guavaspindle/kernel/build-invariant-error';
 import type { DispatchKernel } from '@guavaspindle/kernel/dispatch/dispatch-kernel';
 import type { KernelEffect } from '@guavaspindle/kernel/dispatch/kernel-effect';
 import type { SubmitDecision } from '@guavaspindle/kernel/dispatch/submit-decision';
@@ -141,7 +142,7 @@
   private resolveWaiters(job: Job): void {
     const { result } = job;
     if (result === undefined) {
-      throw new Error(`Job ${job.id} ended without a result.`);
+      throw buildInvariantError('A job ended without a result.', { job: job.id });
     }
     const waiting = this.waiters.get(job.id) ?? [];
     this.waiters.delete(job.id);
--- a/packages/kernel/src/dispatch/job-ender.ts
+++ b/packages/kernel/src/dispatch/job-ender.ts
@@ -1,3 +1,4 @@
+import { buildInvariantError } from '../build-invariant-error';
 import type { JobResult } from '../outcome/job-result';
 import { MinHeap } from '../queue/min-heap';
 import type { Scheduler } from '../queue/scheduler';
@@ -35,7 +36,7 @@
     }
     const answersJson = job.tasks.map((task) => {
       if (task.state.type !== 'answered') {
-        throw new Error(`Job ${job.id} counts more answers than it has.`);
+        throw buildInvariantError('A job counts more answers than it has.', { job: job.id });
       }
       return task.state.answerJson;
     });
--- a/packages/kernel/src/plugin-registry.ts
+++ b/packages/kernel/src/plugin-registry.ts
@@ -1,3 +1,5 @@
+import { buildInvariantError } from './build-invariant-error';
+
 /** Named factories of one interface. Plug-in modules register themselves when imported. */
 export class PluginRegistry<Factory> {
   private readonly factories = new Map<string, Factory>();
@@ -7,7 +9,7 @@
   /** Registers a plug-in under a name that must be free. */
   registerPlugin(name: string, factory: Factory): void {
     if (this.factories.has(name)) {
-      throw new Error(`The ${this.what} "${name}" is registered twice.`);
+      throw buildInvariantError('A plug-in is registered twice.', { what: this.what, name });
     }
     this.factories.set(name, factory);
   }
--- /dev/null
+++ b/packages/runtime/tests/watch-fatal-errors.test.ts
@@ -0,0 +1,28 @@
+import { EventEmitter } from 'node:events';
+import { buildInvariantError } from '@guavaspindle/kernel/build-invariant-error';
+import { watchFatalErrors } from '@guavaspindle/runtime/process/watch-fatal-errors';
+import bunyan from 'bunyan';
+
+/** A process that notes with which code it ended. */
+class FakeProcess extends EventEmitter {
+  readonly exitCodes: number[] = [];
+
+  readonly exit = (code: number): void => {
+    this.exitCodes.push(code);
+  };
+}
+
+describe('an exception that nobody caught', () => {
+  it.each([
+    ['a broken invariant', buildInvariantError('counts differ', { job: 'j1' }), { job: 'j1' }],
+    ['any other error', new Error('counts differ'), {}],
+  ])('is logged with what is known of it, and stops the process: %s', (_name, error, info) => {
+    const ring = new bunyan.RingBuffer({ limit: 10 });
+    const log = bunyan.createLogger({ name: 'test', streams: [{ type: 'raw', stream: ring }] });
+    const target = new FakeProcess();
+    watchFatalErrors(log, target);
+    target.emit('uncaughtException', error);
+    expect(target.exitCodes).toEqual([70]);
+    expect(ring.records).toMatchObject([{ level: bunyan.FATAL, info }]);
+  });
+});
