--- a/packages/runtime/tests/watch-fatal-errors.test.ts
+++ b/packages/runtime/tests/watch-fatal-errors.test.ts
@@ -3,15 +3,6 @@
 import { watchFatalErrors } from '@guavaspindle/runtime/process/watch-fatal-errors';
 import bunyan from 'bunyan';
 
-/** A process that notes with which code it ended. */
-class FakeProcess extends EventEmitter {
-  readonly exitCodes: number[] = [];
-
-  readonly exit = (code: number): void => {
-    this.exitCodes.push(code);
-  };
-}
-
 describe('an exception that nobody caught', () => {
   it.each([
     ['a broken invariant', buildInvariantError('counts differ', { job: 'j1' }), { job: 'j1' }],
@@ -19,10 +10,11 @@
   ])('is logged with what is known of it, and stops the process: %s', (_name, error, info) => {
     const ring = new bunyan.RingBuffer({ limit: 10 });
     const log = bunyan.createLogger({ name: 'test', streams: [{ type: 'raw', stream: ring }] });
-    const target = new FakeProcess();
-    watchFatalErrors(log, target);
-    target.emit('uncaughtException', error);
-    expect(target.exitCodes).toEqual([70]);
+    const source = new EventEmitter();
+    const stopProcess = jest.fn();
+    watchFatalErrors(log, source, stopProcess);
+    source.emit('uncaughtException', error);
+    expect(stopProcess.mock.calls).toEqual([[70]]);
     expect(ring.records).toMatchObject([{ level: bunyan.FATAL, info }]);
   });
 });
