--- a/packages/agent/src/membership/membership.ts
+++ b/packages/agent/src/membership/membership.ts
@@ -15,6 +15,11 @@
 const VIEW_EXPIRY_MS = 3_000;
 /** Heartbeats from other failure domains come more slowly. */
 const REMOTE_VIEW_EXPIRY_MS = 8_000;
+/**
+ * The last heartbeat of a dead instance is remembered this long. Agents that have not noticed its
+ * death yet still hand its view on; without the memory they would revive it with each other forever.
+ */
+const DEAD_MEMORY_MS = 300_000;
 /** Agents of a failure domain that read the platform's store; the others hear from them. */
 const STORE_READERS = 2;
 const READER_RANK_KEY = 'store-reader';
@@ -38,6 +43,9 @@
 
   private readonly views = new Map<string, Heard<InstanceView>>();
 
+  /** Last heartbeats of instances that are taken for dead, by the incarnation of their agent. */
+  private readonly dead = new Map<string, Heard<bigint>>();
+
   private heartbeat = 0n;
 
   private roster = '';
@@ -63,10 +71,12 @@
   /** Takes other agents' views; only a heartbeat that has grown counts as a sign of life. */
   recordViews(views: readonly InstanceView[]): void {
     views.forEach((view) => {
-      const known = this.views.get(view.agentIncarnation);
-      const isNews = known === undefined || view.heartbeat > known.value.heartbeat;
-      if (isNews && view.agentIncarnation !== this.identity.incarnation) {
-        this.views.set(view.agentIncarnation, { value: view, heardAtMs: this.clock.now() });
+      const { agentIncarnation, heartbeat } = view;
+      const known = this.views.get(agentIncarnation)?.value.heartbeat;
+      const last = known ?? this.dead.get(agentIncarnation)?.value ?? -1n;
+      if (heartbeat > last && agentIncarnation !== this.identity.incarnation) {
+        this.dead.delete(agentIncarnation);
+        this.views.set(agentIncarnation, { value: view, heardAtMs: this.clock.now() });
       }
     });
   }
@@ -86,9 +96,15 @@
       const expiryMs = isLocalDomain ? VIEW_EXPIRY_MS : REMOTE_VIEW_EXPIRY_MS;
       if (nowMs - heard.heardAtMs > expiryMs) {
         this.views.delete(incarnation);
+        this.dead.set(incarnation, { value: heard.value.heartbeat, heardAtMs: nowMs });
         this.recordEvent('member-left', incarnation);
       }
     });
+    this.dead.forEach((heard, incarnation) => {
+      if (nowMs - heard.heardAtMs > DEAD_MEMORY_MS) {
+        this.dead.delete(incarnation);
+      }
+    });
   }
 
   /** Notes whether this agent reads the store with success. */
