Compare policies in interleaved rounds

This machine changes its speed during a run: the same baseline gave a short p99 between 662 and 1385 ms in nine runs, so ratios said little.

Ruled out: both deployments at once; they would share the processors.

Conclusion: the order favours no policy any more; noise remains.

--- a/packages/load/src/bin/load.ts
+++ b/packages/load/src/bin/load.ts
@@ -2,9 +2,8 @@
 import { Cli, Command, Option } from 'clipanion';
 import { todaysDeployment } from '../deployment/todays-deployment';
 import { buildPlot } from '../load/build-plot';
+import { comparePolicies } from '../load/compare-policies';
 import { formatReports } from '../load/format-report';
-import type { LoadReport } from '../load/load-report';
-import { measurePolicy } from '../load/measure-policy';
 
 /** Reads a number from the command line. */
 function readNumber(name: string, text: string): number {
@@ -62,6 +61,10 @@
 
   slots = Option.String('--slots', '8', { description: 'Slots a backend server.' });
 
+  rounds = Option.String('--rounds', '2', {
+    description: 'Runs of each policy; every other round in the opposite order.',
+  });
+
   json = Option.Boolean('--json', false, { description: 'Print JSON.' });
 
   plot = Option.String('--plot', { description: 'Write an SVG of the answers over time here.' });
@@ -88,11 +91,9 @@
       deadlineMs: readNumber('deadline-ms', this.deadlineMs),
     };
     const named = [...(typeof this.compare === 'string' ? [this.compare] : []), ...this.policies];
-    const reports: LoadReport[] = [];
-    for (const policy of named.length === 0 ? ['fair,assigned'] : named) {
-      // eslint-disable-next-line no-await-in-loop -- policies run one after the other
-      reports.push(await measurePolicy(policy, shape, options));
-    }
+    const policies = named.length === 0 ? ['fair,assigned'] : [...new Set(named)];
+    const rounds = Math.max(1, Math.floor(readNumber('rounds', this.rounds)));
+    const reports = await comparePolicies(policies, shape, options, rounds);
     const text = this.json ? JSON.stringify(reports, null, 2) : formatReports(reports);
     this.context.stdout.write(`${text}\n`);
     if (this.plot !== undefined) {
--- a/tools/eslint-rules/function-verbs.mjs
+++ b/tools/eslint-rules/function-verbs.mjs
@@ -64,6 +64,7 @@
   'load',
   'mark',
   'measure',
+  'merge',
   'mint',
   'move',
   'names',
