--- a/packages/kernel/src/dispatch/dispatch-kernel.ts
+++ b/packages/kernel/src/dispatch/dispatch-kernel.ts
@@ -4,37 +4,29 @@
 import { LimitBorrower } from '../limits/limit-borrower';
 import { LimitLender } from '../limits/limit-lender';
 import type { AttemptOutcome } from '../outcome/attempt-outcome';
-import type { Problem } from '../outcome/problem';
 import type { FleetView } from '../placement/fleet-view';
-import type { ServerAccount } from '../placement/server-account';
 import type { ServerInfo } from '../placement/server-info';
 import { ServerPool } from '../placement/server-pool';
 import { RetryBudget } from '../policy/retry-budget';
 import { RunTimeEstimator } from '../policy/run-time-estimator';
-import type { Flow } from '../queue/flow';
 import { Scheduler } from '../queue/scheduler';
-import type { TaskPick } from '../queue/task-pick';
-import { buildJob } from '../submission/build-job';
-import { computeOutcome } from '../submission/compute-outcome';
 import { countStarted } from '../submission/count-started';
 import type { Job } from '../submission/job';
-import { minLeaseMs } from '../submission/min-lease-ms';
 import { JobStore } from '../submission/job-store';
 import type { JobSubmission } from '../submission/job-submission';
 import { findRow } from '../table/find-row';
 import type { OperatorsTable } from '../table/operators-table';
-import type { TableRow } from '../table/table-row';
 import { AttemptBook } from './attempt-book';
-import { buildNoRowProblem } from './build-no-row-problem';
 import { buildProblem } from './build-problem';
-import { checkAdmission } from './check-admission';
 import { EffectQueue } from './effect-queue';
 import { findSubmitted } from './find-submitted';
+import { JobAdmitter } from './job-admitter';
 import { JobEnder } from './job-ender';
 import type { KernelEffect } from './kernel-effect';
 import type { KernelOptions } from './kernel-options';
 import { OutcomeApplier } from './outcome-applier';
 import type { SubmitDecision } from './submit-decision';
+import { TaskStarter } from './task-starter';
 
 /**
  * Decides for one dispatcher what to start, where and when. It has no input or output of its own:
@@ -56,10 +48,6 @@
 
   private readonly scheduler: Scheduler;
 
-  private readonly estimator = new RunTimeEstimator();
-
-  private readonly retryBudget = new RetryBudget();
-
   private readonly attempts: AttemptBook;
 
   private readonly effects = new EffectQueue();
@@ -68,6 +56,10 @@
 
   private readonly applier: OutcomeApplier;
 
+  private readonly admitter: JobAdmitter;
+
+  private readonly starter: TaskStarter;
+
   private table: OperatorsTable | undefined;
 
   private draining = false;
@@ -79,15 +71,22 @@
     const flows = this.buildFlowSource();
     this.lender = new LimitLender(options.fleet.self, flows);
     this.borrower = new LimitBorrower(flows);
-    this.attempts = new AttemptBook({
-      pool: this.pool,
-      scheduler: this.scheduler,
-      estimator: this.estimator,
-      reportEjection: (server) => this.effects.recordEvent('server-ejected', undefined, { server }),
+    const { jobs, pool, scheduler, effects } = this;
+    const estimator = new RunTimeEstimator();
+    const retryBudget = new RetryBudget();
+    const attempts = new AttemptBook({
+      pool,
+      scheduler,
+      estimator,
+      reportEjection: (server) => effects.recordEvent('server-ejected', undefined, { server }),
     });
-    const { jobs, scheduler, attempts, retryBudget, effects } = this;
-    this.ender = new JobEnder({ jobs, scheduler, attempts, effects });
-    this.applier = new OutcomeApplier({ scheduler, retryBudget, effects, ender: this.ender });
+    const ender = new JobEnder({ jobs, scheduler, attempts, effects });
+    const { domain } = options;
+    this.attempts = attempts;
+    this.ender = ender;
+    this.applier = new OutcomeApplier({ scheduler, retryBudget, effects, ender });
+    this.admitter = new JobAdmitter({ domain, jobs, pool, scheduler, estimator, effects, ender });
+    this.starter = new TaskStarter({ pool, scheduler, attempts, retryBudget, effects, ender });
   }
 
   /** Returns the effects queued since the last call. */
@@ -143,20 +142,20 @@
     if (known !== undefined) {
       return known;
     }
-    const { table } = this;
-    if (this.draining || table === undefined) {
-      return this.refuseJob(
-        submission,
-        this.draining
-          ? buildProblem('draining', 'not-run', 'This dispatcher is shutting down.', 0)
-          : buildProblem('not-ready', 'not-run', 'No table has been adopted yet.', 200),
-      );
+    const { table, admitter } = this;
+    if (this.draining) {
+      const problem = buildProblem('draining', 'not-run', 'This dispatcher is shutting down.', 0);
+      return admitter.refuseJob(submission, problem);
     }
-    const row = findRow(table, submission.caller, submission.kind, this.options.domain);
-    if (row === undefined) {
-      return this.refuseJob(submission, buildNoRowProblem(table, submission));
+    if (table === undefined) {
+      const problem = buildProblem('not-ready', 'not-run', 'No table has been adopted yet.', 200);
+      return admitter.refuseJob(submission, problem);
     }
-    return this.admitJob(submission, number, row, nowMs);
+    const decision = admitter.admitJob(submission, number, table, nowMs);
+    if (decision.type === 'accepted') {
+      this.startTasks(nowMs);
+    }
+    return decision;
   }
 
   /** Finds a job for its own caller; undefined if unknown or forgotten. */
@@ -241,81 +240,7 @@
     };
   }
 
-  private refuseJob(submission: JobSubmission, problem: Problem): SubmitDecision {
-    this.effects.recordEvent('submission-refused', submission.jobId, { code: problem.code });
-    return { type: 'refused', problem };
-  }
-
-  private admitJob(
-    submission: JobSubmission,
-    number: number,
-    row: TableRow,
-    nowMs: number,
-  ): SubmitDecision {
-    const deadlineMs = Math.min(submission.deadlineMs ?? row.deadlineMs, row.deadlineMs);
-    const { scheduler, pool } = this;
-    const flow = scheduler.getFlow(submission.caller, submission.kind, row);
-    const job = buildJob(submission, this.estimator, nowMs, deadlineMs);
-    const estimatesMs = job.tasks.map((task) => task.estimateMs);
-    const problem = checkAdmission({
-      submission,
-      flow,
-      pool,
-      scheduler,
-      deadlineMs,
-      estimatesMs,
-    });
-    if (problem !== undefined) {
-      return this.refuseJob(submission, problem);
-    }
-    this.jobs.addJob(job, number);
-    this.ender.watchDeadline(job);
-    scheduler.addJob(flow, job);
-    this.effects.recordEvent('submission-accepted', job.id, { tasks: job.tasks.length });
-    this.startTasks(nowMs);
-    return { type: 'accepted', job };
-  }
-
   private startTasks(nowMs: number): void {
-    const skipped = new Set<Flow>();
-    const slots = this.pool.countSlots();
-    while (this.pool.hasFreeSlot(nowMs)) {
-      const pick = this.scheduler.pickTask(nowMs, slots, skipped);
-      if (pick === undefined) {
-        return;
-      }
-      const account = this.pool.chooseServer(pick.task.input.demand, nowMs);
-      if (account === undefined) {
-        skipped.add(pick.flow);
-      } else if (DispatchKernel.isHopeless(pick, nowMs)) {
-        this.ender.failJob(pick.job, nowMs, 'no-capacity', 'No slot became free in time.');
-      } else {
-        this.startTask(pick, account, nowMs);
-      }
-    }
-  }
-
-  /** Tells whether waiting has made a job late of which nothing has started. */
-  private static isHopeless({ job, task }: TaskPick, nowMs: number): boolean {
-    const wasInTime = job.acceptedAtMs + task.estimateMs <= job.deadlineAtMs;
-    const isLate = nowMs + task.estimateMs > job.deadlineAtMs;
-    return wasInTime && isLate && computeOutcome(job.tasks) === 'not-run';
-  }
-
-  private startTask(pick: TaskPick, account: ServerAccount, nowMs: number): void {
-    const { id, job, task } = this.attempts.beginAttempt(pick, account, nowMs);
-    if (task.attempts === 1) {
-      this.retryBudget.recordFirstAttempt();
-    }
-    const leaseMs = Math.max(minLeaseMs, job.deadlineAtMs - nowMs);
-    this.effects.addEffects({
-      type: 'start',
-      attempt: id,
-      job,
-      task,
-      server: account.info,
-      leaseMs,
-    });
-    this.effects.recordEvent('task-started', job.id, { attempt: id, server: account.info.id });
+    this.starter.startTasks(nowMs);
   }
 }
--- a/packages/load/src/load/compute-report.ts
+++ b/packages/load/src/load/compute-report.ts
@@ -1,4 +1,5 @@
 import { build } from 'hdr-histogram-js';
+import { computeMean } from './compute-mean';
 import type { JobRecord } from './job-record';
 import type { LoadOptions } from './load-options';
 import type { LoadReport } from './load-report';
@@ -27,11 +28,6 @@
   return histogram.getValueAtPercentile(percentile) / US_PER_MS;
 }
 
-/** Computes a mean; 0 for no values. */
-function computeMean(values: readonly number[]): number {
-  return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length;
-}
-
 /** Computes the part of the slots' work in the crest that was answered within the deadline. */
 function computeCrestGoodput(records: readonly JobRecord[], context: ReportContext): number {
   const { options, slots } = context;
--- a/packages/load/src/load/merge-reports.ts
+++ b/packages/load/src/load/merge-reports.ts
@@ -1,3 +1,4 @@
+import { computeMean } from './compute-mean';
 import type { LoadReport } from './load-report';
 
 /** Figures that add up over rounds; the others are averaged. */
@@ -9,11 +10,6 @@
   'unknown',
 ]);
 
-/** Computes a mean. */
-function computeMean(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
-
 /** Merges the reports of one policy's rounds: counts add up, times and parts are averaged. */
 export function mergeReports(reports: readonly [LoadReport, ...LoadReport[]]): LoadReport {
   const [first] = reports;
--- a/packages/stand-ins/src/platform/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-stand-in.ts
@@ -3,12 +3,14 @@
 import { readBody } from '../http/read-body';
 import { sendJson } from '../http/send-json';
 import { StandInServer } from '../http/stand-in-server';
+import { buildKeyItem } from './build-key-item';
+import { buildListItem } from './build-list-item';
+import { ChangeWaiters } from './change-waiters';
 import type { KvEntry } from './kv-entry';
 import type { ListedInstance } from './listed-instance';
 import { platformFaultsSchema } from './platform-faults';
 
 const MAX_VALUE_BYTES = 1_048_576;
-const DEFAULT_WAIT_MS = 5_000;
 
 /** Calls counted by what they were; a waiting watch counts as one. */
 interface CallCounts {
@@ -34,7 +36,7 @@
 
   private faults = platformFaultsSchema.parse({});
 
-  private readonly waiters = new Set<() => void>();
+  private readonly waiters = new ChangeWaiters();
 
   private readonly counts: CallCounts = { reads: 0, writes: 0, watches: 0 };
 
@@ -64,7 +66,7 @@
     this.index += 1;
     const createIndex = this.entries.get(key)?.createIndex ?? this.index;
     this.entries.set(key, { text, createIndex, modifyIndex: this.index });
-    this.wakeWaiters();
+    this.waiters.wakeAll();
   }
 
   /** Reads a key as an administrator would. */
@@ -79,7 +81,7 @@
 
   /** Cuts everything and closes. */
   async close(): Promise<void> {
-    this.wakeWaiters();
+    this.waiters.wakeAll();
     await Promise.all(this.servers.map((server) => server.close()));
   }
 
@@ -90,7 +92,7 @@
     this.shownInstances = this.instances;
     this.index += 1;
     this.listIndex = this.index;
-    this.wakeWaiters();
+    this.waiters.wakeAll();
   }
 
   private async handleRequest(
@@ -166,7 +168,7 @@
     } else {
       this.counts.watches += 1;
       const isUnchanged = () => (this.entries.get(key)?.modifyIndex ?? 0) <= Number(after);
-      await this.waitWhile(isUnchanged, url);
+      await this.waiters.waitWhile(() => isUnchanged() && !this.faults.down, url);
     }
     if (this.isCut(domain)) {
       response.socket?.destroy();
@@ -182,15 +184,7 @@
       sendJson(response, 404, '', headers);
       return;
     }
-    const item = {
-      Key: key,
-      Value: Buffer.from(entry.text).toString('base64'),
-      CreateIndex: entry.createIndex,
-      ModifyIndex: entry.modifyIndex,
-      LockIndex: 0,
-      Flags: 0,
-    };
-    sendJson(response, 200, [item], headers);
+    sendJson(response, 200, [buildKeyItem(key, entry)], headers);
   }
 
   private writeByCas(key: string, url: URL, body: string, response: ServerResponse): void {
@@ -214,7 +208,7 @@
   private async handleList(url: URL, response: ServerResponse, domain: string): Promise<void> {
     this.counts.watches += 1;
     const after = Number(url.searchParams.get('index') ?? 0);
-    await this.waitWhile(() => this.listIndex <= after, url);
+    await this.waiters.waitWhile(() => this.listIndex <= after && !this.faults.down, url);
     if (this.isCut(domain)) {
       response.socket?.destroy();
       return;
@@ -224,47 +218,7 @@
     const shown = this.shownInstances.filter(
       (instance) => wanted === undefined || instance.meta.domain === wanted,
     );
-    const entries = shown.map((instance) => ({
-      Node: { Node: instance.id, Address: instance.address },
-      Service: {
-        ID: instance.id,
-        Service: 'backend-server',
-        Address: instance.address,
-        Port: instance.port,
-        Meta: instance.meta,
-      },
-      Checks: [],
-    }));
+    const entries = shown.map(buildListItem);
     sendJson(response, 200, entries, { 'x-consul-index': String(this.listIndex) });
   }
-
-  /** Waits for a change while the test holds, up to the query's `wait`. */
-  private async waitWhile(test: () => boolean, url: URL): Promise<void> {
-    const waitMs = Number(
-      /^(\d+)ms$/.exec(url.searchParams.get('wait') ?? '')?.[1] ?? DEFAULT_WAIT_MS,
-    );
-    const endAt = performance.now() + waitMs;
-    while (test() && performance.now() < endAt && !this.faults.down) {
-      const leftMs = Math.max(0, endAt - performance.now());
-      // eslint-disable-next-line no-await-in-loop -- waits for one change after the other
-      await this.waitForChange(leftMs);
-    }
-  }
-
-  private waitForChange(maxMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = () => {
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set before any wake
-        clearTimeout(timer);
-        this.waiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, maxMs);
-      this.waiters.add(wake);
-    });
-  }
-
-  private wakeWaiters(): void {
-    [...this.waiters].forEach((wake) => wake());
-  }
 }
