A refusal after an unanswered copy proves nothing

Cause, found by reading the change: the gateway sends a submission again to the same owner when the connection is lost. If the second copy was refused "not run", it passed that on, or gave the job to another dispatcher under another ticket. The first copy could still arrive (a frozen owner reads both) and be accepted: a false "not run", or the job run twice.

Ruled out: burning refused tickets at the owner; callers send the same ticket again after 429.

Change: after a copy without an answer, a refusal is `unknown` and no other dispatcher is asked.

--- a/packages/gateway/src/routing/submission-router.ts
+++ b/packages/gateway/src/routing/submission-router.ts
@@ -12,6 +12,7 @@
 } from '@guavaspindle/protocol/gen/guavaspindle/v1/dispatch_pb';
 import type { ClientPool } from '@guavaspindle/runtime/control/client-pool';
 import { err, ok, type Result } from 'neverthrow';
+import { buildUnprovedProblem } from './build-unproved-problem';
 import { buildUnreachableProblem } from './build-unreachable-problem';
 import type { DispatcherDirectory } from './dispatcher-directory';
 import type { Submission } from './submission';
@@ -33,12 +34,18 @@
   readonly clock: Clock;
 }
 
+/** Codes of refusals that are about one dispatcher only. */
+const LOCAL_CODES = ['draining', 'not-ready', 'over-limit', 'no-capacity'];
+
+/** Tells whether a reply says that nothing was run. */
+function isNotRun({ result }: JobReply): boolean {
+  return result.case === 'problem' && result.value.outcome === 'not-run';
+}
+
 /** Tells whether a refusal is about this dispatcher only, so that another may take the work. */
 function isLocalRefusal(reply: JobReply): boolean {
-  if (reply.result.case !== 'problem' || reply.result.value.outcome !== 'not-run') {
-    return false;
-  }
-  return ['draining', 'not-ready', 'over-limit', 'no-capacity'].includes(reply.result.value.code);
+  const { result } = reply;
+  return isNotRun(reply) && result.case === 'problem' && LOCAL_CODES.includes(result.value.code);
 }
 
 /**
@@ -116,7 +123,10 @@
     }
   }
 
-  /** Sends to the only owner, and again to it alone, until it answers or the deadline passes. */
+  /**
+   * Sends to the only owner, and again to it alone, until it answers or the deadline passes. After
+   * a copy that got no answer, a refusal proves nothing: that copy may still arrive and be accepted.
+   */
   private async submitToOwner(
     submission: Submission,
     ticket: string,
@@ -128,7 +138,7 @@
     }
     const { clock, directory } = this.parts;
     const giveUpAtMs = clock.now() + (submission.deadlineMs ?? DEFAULT_DEADLINE_MS);
-    for (;;) {
+    for (let lostCopies = 0; ; lostCopies += 1) {
       const owner = directory.findOwner(parts.incarnation);
       if (owner === undefined) {
         return err(buildUnreachableProblem());
@@ -136,7 +146,7 @@
       // eslint-disable-next-line no-await-in-loop -- one try after the other, to the same owner
       const reply = await this.sendSubmission(owner, submission, ticket, '');
       if (reply !== undefined) {
-        return ok(reply);
+        return lostCopies > 0 && isNotRun(reply) ? err(buildUnprovedProblem()) : ok(reply);
       }
       if (clock.now() >= giveUpAtMs) {
         return err(buildUnreachableProblem());
