--- a/packages/instance/src/store/prefix-mirror.ts
+++ b/packages/instance/src/store/prefix-mirror.ts
@@ -4,8 +4,12 @@
 import type { StoreFailure } from '@guavaspindle/platform-adapter/store/store-failure';
 import type { MirrorListener } from './mirror-listener';
 
-/** Longest wait of one watch; a silent connection is noticed after this time. */
-const WATCH_WAIT_MS = 5_000;
+/**
+ * Longest wait of one watch, in milliseconds. A watch that has gone silent is noticed after this time
+ * and the client's slack, which together stay below the two seconds in which a configuration has to
+ * be in force.
+ */
+const WATCH_WAIT_MS = 700;
 /** Pause after a call that failed, doubled with each further one up to the maximum. */
 const FIRST_RETRY_MS = 50;
 const MAX_RETRY_MS = 800;
@@ -56,8 +60,10 @@
         const changes = await store.watchPrefix(prefix, revision, WATCH_WAIT_MS);
         if (changes.isOk()) {
           this.recordAnswer();
-          revision = changes.value.revision;
           if (changes.value.events.length > 0) {
+            // An empty answer leaves the revision as it is: a store that is about to drop its
+            // history may have held back changes that its revision already counts.
+            revision = changes.value.revision;
             this.listener.onEvents(changes.value.events);
           }
           if (paceMs > 0) {
