--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -16,6 +16,7 @@
 import { LinkService } from './links/link-service';
 import { PoolLeader } from './pool/pool-leader';
 import { InstanceMetrics } from './process/instance-metrics';
+import { warmUp } from './process/warm-up';
 import type { RunningInstance } from './process/running-instance';
 import type { InstanceEntry } from './registry/instance-entry';
 import { Registry } from './registry/registry';
@@ -124,6 +125,9 @@
   setInterval(() => fleet.dropMissing(), MISSING_CHECK_MS);
   void registry.writeOwnEntry().then(() => keeper.run());
   log.info({ self }, 'instance started');
+  if (settings.isFirstStart) {
+    void warmUp(clock, log, settings.callersAddress);
+  }
 
   return {
     async shutDown(): Promise<void> {
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -135,6 +135,7 @@
       {
         maxLeaseMs,
         stopTimeoutMs,
+        isStrict: this.options.domain !== undefined,
         fencingToken: () => this.token,
         onChange: () => this.requestTurn(),
         onConfirmed: () => this.handleConfirmed(),
--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -5,13 +5,21 @@
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { OrderAnswer } from '@guavaspindle/platform-adapter/servers/order-answer';
-import type { ServerClient } from '@guavaspindle/platform-adapter/servers/server-client';
+import type { ServerPort } from '@guavaspindle/platform-adapter/servers/server-port';
 import type { ServerState } from '@guavaspindle/platform-adapter/servers/server-state';
 import type { PoolMetrics } from './pool-metrics';
 import type { SessionOptions } from './session-options';
 
 /** Longest wait of one renewal; leases are renewed at least this often, well within their term. */
 const RENEWAL_WAIT_MS = 500;
+/**
+ * A renewal whose answer is lost hides the ends of runs: it waits until this long after the first
+ * end that is expected, and no longer.
+ */
+const EXPECTED_END_SLACK_MS = 60;
+const MIN_RENEWAL_WAIT_MS = 100;
+/** Answers in a row that may be lost before the server counts as unreachable. */
+const TOLERATED_SILENCES = 1;
 /** Clocks of servers may be this much slower than true time, as the platform's rules allow. */
 const CLOCK_SLACK = 1.02;
 /** Added to every bound on a server's lease, for the way there. */
@@ -49,7 +57,7 @@
 
   constructor(
     private readonly server: EngineServer,
-    private readonly client: ServerClient,
+    private readonly client: ServerPort,
     private readonly engine: JobEngine,
     private readonly options: SessionOptions,
     private readonly clock: Clock,
@@ -64,7 +72,7 @@
   async run(): Promise<void> {
     while (!this.isClosed) {
       if (this.needsLook()) {
-        await this.look(this.server.state === 'unconfirmed' ? 0 : RENEWAL_WAIT_MS);
+        await this.look(this.computeWaitMs());
       } else {
         await this.waitForWork();
       }
@@ -151,6 +159,21 @@
     );
   }
 
+  private computeWaitMs(): number {
+    if (this.server.state === 'unconfirmed') {
+      return 0;
+    }
+    const nowMs = this.clock.now();
+    let waitMs = RENEWAL_WAIT_MS;
+    this.server.runs.forEach((run) => {
+      const untilEndMs = run.startedAtMs + run.expectedMs - nowMs;
+      const overdueMs = Math.max(0, -untilEndMs);
+      // The later a run is, the less often it is worth a look.
+      waitMs = Math.min(waitMs, Math.max(untilEndMs, overdueMs) + EXPECTED_END_SLACK_MS);
+    });
+    return Math.round(Math.max(MIN_RENEWAL_WAIT_MS, waitMs));
+  }
+
   private async waitForWork(): Promise<void> {
     await new Promise<void>((resolve) => {
       this.wake = resolve;
@@ -170,7 +193,10 @@
     const { fencingToken, maxLeaseMs } = this.options;
     const sentAtMs = this.clock.now();
     const canExtend =
-      this.clockOffsetMs !== undefined && this.server.runs.size > 0 && this.silences === 0;
+      this.clockOffsetMs !== undefined &&
+      this.server.runs.size > 0 &&
+      this.silences === 0 &&
+      !(this.options.isStrict && this.engine.hasUnclaimed(this.server));
     if (canExtend) {
       this.extendedAtMs = sentAtMs;
     }
@@ -221,6 +247,10 @@
     this.bornMs = state.bornMs;
     this.clockOffsetMs = state.clockMs - nowMs;
     const isFirst = this.server.state === 'unconfirmed';
+    if (isFirst) {
+      // What was taken for over while the server was out of reach may run on.
+      this.ends.clear();
+    }
     state.running.forEach(({ task, run, percent }) => {
       const known = this.server.runs.get(task);
       if (known === undefined) {
@@ -244,7 +274,7 @@
       this.hasUnacknowledged = false;
     }
     this.dropVanished(state, sentAtMs, nowMs);
-    if (isFirst) {
+    if (isFirst && !(this.options.isStrict && this.engine.hasUnclaimed(this.server))) {
       this.server.state = 'usable';
       this.options.onConfirmed();
     }
@@ -253,7 +283,7 @@
   private adoptRun(task: TaskId, run: number, isFirst: boolean): void {
     this.log.info({ server: this.server.report.id, task, run, isFirst }, 'run found on a server');
     this.engine.adoptRun(this.server, task, run, this.clock.now());
-    if (!isFirst) {
+    if (!isFirst || this.options.isStrict) {
       this.engine.stopUnclaimed();
     }
   }
@@ -286,6 +316,9 @@
     }
     this.silences += 1;
     this.server.state = 'unconfirmed';
+    if (this.silences <= TOLERATED_SILENCES) {
+      return;
+    }
     const lapsedMs = this.options.maxLeaseMs * CLOCK_SLACK + LEASE_MARGIN_MS;
     if (this.server.runs.size > 0 && nowMs >= this.extendedAtMs + lapsedMs) {
       this.endAllRuns('leases have lapsed without an answer');
@@ -300,7 +333,6 @@
       this.log.warn({ server: this.server.report.id, runs: runs.length, reason }, 'runs lost');
     }
     runs.forEach((run) => {
-      this.rememberEnd(run.task, run.run);
       this.engine.endRun(this.server.report.id, run.task, run.run, 'lost', nowMs);
     });
     this.options.onChange();
--- /dev/null
+++ b/packages/instance/src/process/warm-up.ts
@@ -0,0 +1,143 @@
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
+import type { ServiceName } from '@guavaspindle/kernel/ids/service-name';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import type { QueueSettings } from '@guavaspindle/kernel/engine/queue-settings';
+import { parseJob } from '@guavaspindle/platform-adapter/callers/parse-job';
+import { JsonClient } from '@guavaspindle/platform-adapter/http/json-client';
+import type Logger from 'bunyan';
+import { decodeJob } from '../links/decode-job';
+import { encodeJob } from '../links/encode-job';
+import type { EntryPort } from '../links/entry-port';
+import { PoolLeader } from '../pool/pool-leader';
+import type { PoolMetrics } from '../pool/pool-metrics';
+import { InMemoryServer } from './in-memory-server';
+
+/** Jobs that are run in memory: enough for the engine's optimizing compiler. */
+const JOBS = 1_500;
+/** Calls over HTTP to the instance itself. */
+const CALLS = 1_500;
+/** Jobs and calls in progress at the same time. */
+const PARALLEL = 8;
+const SERVERS = 8;
+const CALL_TIMEOUT_MS = 1_000;
+/** Between two groups the loop handles whatever else has come. */
+const PAUSE_MS = 1;
+const OWNER = 'warm-up' as InstanceName;
+const SERVICE = 'warm-up' as ServiceName;
+
+const QUEUE: QueueSettings = {
+  name: 'warm-up' as QueueName,
+  service: SERVICE,
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 2,
+  targetMs: 1_000,
+};
+
+const JOB_TEXT = JSON.stringify({
+  specification: 'warm-up',
+  bestEffort: true,
+  steps: [{ count: 4, cpu: 1_000, memMb: 64, estimatedMs: 50 }],
+});
+
+const NO_METRICS: PoolMetrics = { recordStart() {}, recordLook() {}, recordJob() {} };
+
+/** Runs jobs on servers in memory, through the codec of the links. */
+async function runJobs(clock: Clock, log: Logger): Promise<void> {
+  const waiting = new Map<JobId, () => void>();
+  const pool = new PoolLeader({
+    clock,
+    log,
+    metrics: NO_METRICS,
+    domain: undefined,
+    fencingToken: 1,
+    maxLeaseMs: 1_000,
+    stopTimeoutMs: 50,
+    openServer: () => new InMemoryServer(),
+    onFenced() {},
+  });
+  const entry: EntryPort = {
+    endJob: (id) => waiting.get(id)?.(),
+    reportDone() {},
+    answerCancel() {},
+    reportPending() {},
+    reportLeaving() {},
+    endLink() {},
+  };
+  pool.addEntry(OWNER, entry);
+  for (let index = 0; index < SERVERS; index += 1) {
+    pool.adoptServer({
+      id: `warm-up-${index}` as ServerId,
+      service: SERVICE,
+      domain: 'warm-up' as DomainName,
+      address: 'in memory',
+      bornMs: 1,
+      capacity: { cpuMilli: 4_000, memoryMb: 4_096, gpus: 0 },
+      labels: [],
+      isDraining: false,
+    });
+  }
+  for (let done = 0; done < JOBS; done += PARALLEL) {
+    const group = Array.from({ length: PARALLEL }, async (_unused, index) => {
+      const id = (done + index).toString(16).padStart(16, '0') as JobId;
+      const spec = parseJob(JOB_TEXT, id, QUEUE);
+      if (spec.isErr()) {
+        return;
+      }
+      const handed = {
+        spec: spec.value,
+        ageMs: 0,
+        doneTasks: new Set<never>(),
+        isResumed: false,
+        runsMayLiveMs: 0,
+      };
+      await new Promise<void>((resolve) => {
+        waiting.set(id, resolve);
+        pool.submitJob(decodeJob(encodeJob(handed), OWNER));
+      });
+      waiting.delete(id);
+    });
+    await Promise.race([Promise.all(group), clock.pause(CALL_TIMEOUT_MS)]);
+    await clock.pause(PAUSE_MS);
+  }
+  pool.close();
+}
+
+/** Calls the instance's own callers' interface with a route that does not exist. */
+async function sendCalls(clock: Clock, callersAddress: string): Promise<void> {
+  const client = new JsonClient(callersAddress, PARALLEL);
+  for (let sent = 0; sent < CALLS; sent += PARALLEL) {
+    const group = Array.from({ length: PARALLEL }, () =>
+      client.sendJson({
+        method: 'POST',
+        path: '/warm-up/0000000000000000',
+        body: JOB_TEXT,
+        timeoutMs: CALL_TIMEOUT_MS,
+      }),
+    );
+    await Promise.all(group);
+    await clock.pause(PAUSE_MS);
+  }
+  client.close();
+}
+
+/**
+ * Runs the paths of a request before the first one comes, so that the first callers do not wait for
+ * the compiler. Only at the first start of the whole system, when no traffic waits for the processor.
+ */
+export async function warmUp(
+  clock: Clock,
+  log: Logger,
+  callersAddress: string | undefined,
+): Promise<void> {
+  const startedMs = clock.now();
+  await runJobs(clock, log);
+  if (callersAddress !== undefined) {
+    await sendCalls(clock, callersAddress);
+  }
+  log.info({ durationMs: Math.round(clock.now() - startedMs) }, 'warmed up');
+}
--- a/packages/kernel/src/engine/engine-run.ts
+++ b/packages/kernel/src/engine/engine-run.ts
@@ -11,6 +11,8 @@
   readonly demand: Resources;
   /** Monotonic milliseconds of the order. */
   readonly startedAtMs: number;
+  /** How long the run is expected to take, in milliseconds. */
+  readonly expectedMs: number;
   /** `starting` until the server has answered the order; `stopping` from the order to stop on. */
   state: 'starting' | 'running' | 'stopping';
   /** When the server answered the last order for this run; undefined before. */
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -22,6 +22,8 @@
 const KEEP_OUTCOMES_MS = 10_000;
 /** What a caller is told to wait when a job was refused for want of time. */
 const RETRY_AFTER_MS = 1_000;
+/** Expected run time of a run that another leader ordered, in milliseconds. */
+const UNKNOWN_RUN_MS = 500;
 
 /**
  * Runs jobs on one pool of backend servers. Without input or output: the time and the servers'
@@ -163,6 +165,7 @@
       serverId: server.report.id,
       demand: step?.demand ?? { ...server.report.capacity },
       startedAtMs: nowMs,
+      expectedMs: UNKNOWN_RUN_MS,
       state: 'running',
       answeredAtMs: nowMs,
       percent: 0,
@@ -184,6 +187,11 @@
     });
   }
 
+  /** Tells whether a server runs what belongs to no open job. */
+  hasUnclaimed(server: EngineServer): boolean {
+    return [...server.runs.values()].some((run) => !this.isClaimed(run));
+  }
+
   /** Refuses what cannot be of use any more and starts what has room. */
   schedule(nowMs: number): void {
     const waiting = [...this.jobs.values()].filter((job) => job.openTasks > job.runningTasks);
@@ -208,12 +216,14 @@
   }
 
   private startRun(job: EngineJob, task: EngineTask, server: EngineServer, nowMs: number): void {
+    const step = job.spec.steps[task.step]!;
     const run: EngineRun = {
       task: task.id,
       run: task.lastRun + 1,
       serverId: server.report.id,
-      demand: job.spec.steps[task.step]!.demand,
+      demand: step.demand,
       startedAtMs: nowMs,
+      expectedMs: this.book.estimateRunMs(job.spec.queue.name, task.step, step.estimatedMs),
       state: 'starting',
       answeredAtMs: undefined,
       percent: 0,
--- a/tools/bundle-instance.mjs
+++ b/tools/bundle-instance.mjs
@@ -8,7 +8,8 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minifySyntax: true,
+  minify: true,
+  keepNames: false,
   logLevel: 'warning',
   // Optional parts of bunyan that are not installed on the platform.
   external: ['dtrace-provider', 'mv', 'safe-json-stringify'],
