Resume jobs only when every server has answered anew

Change: the loss is timed from the last hand-in; a resumed job waits until each server has answered a look sent after the hand-in, or the leases have lapsed; no memory of presumed ends.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -126,7 +126,7 @@
   void registry.writeOwnEntry().then(() => keeper.run());
   log.info({ self }, 'instance started');
   if (settings.isFirstStart) {
-    void warmUp(clock, log, settings.callersAddress);
+    void warmUp(clock, log, settings.ip, settings.callersAddress);
   }
 
   return {
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -175,6 +175,7 @@
       runsMayLiveMs: job.wasSent ? Math.max(0, linkTiming.runsMayLiveMs - lostForMs) : 0,
     });
     job.wasSent = true;
+    job.lostAtMs = undefined;
   }
 
   /** Answers one caller that waits no longer; the job itself ends with its last caller. */
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -92,6 +92,10 @@
 
   /** Takes a job from an entry instance. */
   submitJob(handed: HandedJob): void {
+    if (handed.runsMayLiveMs > 0) {
+      // Another leader may have used servers since they last answered; their lists tell.
+      this.confirmAll();
+    }
     this.engine.submitJob(handed, this.options.clock.now());
     this.requestTurn();
   }
@@ -106,7 +110,7 @@
   /** Goes on with a higher fencing token, after another instance has used one. */
   adoptToken(token: number): void {
     this.token = token;
-    this.sessions.forEach((session) => session.confirmAnew());
+    this.confirmAll();
   }
 
   /** Tells all entry instances that the lead is given up. */
@@ -123,6 +127,10 @@
     this.entries.forEach((port) => port.endLink());
   }
 
+  private confirmAll(): void {
+    this.sessions.forEach((session) => session.confirmAnew());
+  }
+
   private openSession(
     report: ServerReport,
     server: ReturnType<JobEngine['fleet']['adoptReport']>,
--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -28,6 +28,8 @@
 const IDLE_ACKNOWLEDGE_MS = 500;
 /** Pause between attempts to reach a server that does not answer. */
 const UNREACHABLE_PAUSE_MS = 200;
+/** Pause between looks at a server whose unknown runs are being stopped. */
+const CONFIRM_PAUSE_MS = 10;
 /** Ends that are remembered, so that a late answer does not bring a run back. */
 const REMEMBERED_ENDS = 256;
 
@@ -55,6 +57,11 @@
 
   private silences = 0;
 
+  private looksInProgress = 0;
+
+  /** Only a look sent since then confirms the server; own monotonic milliseconds. */
+  private confirmAfterMs = 0;
+
   constructor(
     private readonly server: EngineServer,
     private readonly client: ServerPort,
@@ -136,7 +143,13 @@
   /** Asks for a confirmation with a new fencing token before anything else starts. */
   confirmAnew(): void {
     this.server.state = 'unconfirmed';
-    this.wakeUp();
+    this.confirmAfterMs = this.clock.now();
+    if (this.looksInProgress > 0) {
+      // The look in progress may wait for the end of a run.
+      void this.look(0);
+    } else {
+      this.wakeUp();
+    }
   }
 
   /** Tells whether all that the server runs is over. */
@@ -201,6 +214,7 @@
       this.extendedAtMs = sentAtMs;
     }
     this.metrics.recordLook();
+    this.looksInProgress += 1;
     const state = await this.client.renewLeases({
       fencingToken: fencingToken(),
       acknowledged: this.acknowledged,
@@ -209,6 +223,7 @@
         : undefined,
       waitMs,
     });
+    this.looksInProgress -= 1;
     if (this.isClosed) {
       return;
     }
@@ -216,6 +231,9 @@
       case 'state':
         this.adoptState(state, sentAtMs);
         this.options.onChange();
+        if (this.server.state === 'unconfirmed') {
+          await this.clock.pause(CONFIRM_PAUSE_MS);
+        }
         return;
       case 'fenced':
         this.options.onFenced();
@@ -246,7 +264,7 @@
     }
     this.bornMs = state.bornMs;
     this.clockOffsetMs = state.clockMs - nowMs;
-    const isFirst = this.server.state === 'unconfirmed';
+    const isFirst = this.server.state === 'unconfirmed' && sentAtMs >= this.confirmAfterMs;
     if (isFirst) {
       // What was taken for over while the server was out of reach may run on.
       this.ends.clear();
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -1,25 +1,34 @@
+import type Logger from 'bunyan';
+import { Hono } from 'hono';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { ServiceName } from '@guavaspindle/kernel/ids/service-name';
+import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { QueueSettings } from '@guavaspindle/kernel/engine/queue-settings';
 import { parseJob } from '@guavaspindle/platform-adapter/callers/parse-job';
 import { JsonClient } from '@guavaspindle/platform-adapter/http/json-client';
-import type Logger from 'bunyan';
+import { idleServerReply } from '@guavaspindle/platform-adapter/servers/idle-server-reply';
+import { ServerClient } from '@guavaspindle/platform-adapter/servers/server-client';
 import { decodeJob } from '../links/decode-job';
 import { encodeJob } from '../links/encode-job';
 import type { EntryPort } from '../links/entry-port';
 import { PoolLeader } from '../pool/pool-leader';
 import type { PoolMetrics } from '../pool/pool-metrics';
+import { HttpServer } from '../http/http-server';
 import { InMemoryServer } from './in-memory-server';
 
 /** Jobs that are run in memory: enough for the engine's optimizing compiler. */
-const JOBS = 1_500;
+const JOBS = 3_000;
 /** Calls over HTTP to the instance itself. */
-const CALLS = 1_500;
+const CALLS = 800;
+/** Orders over HTTP: enough for the optimizing compiler. */
+const ORDERS = 5_000;
+/** Port of the server that takes these orders; it is closed before traffic starts. */
+const REHEARSAL_PORT = 9_465;
 /** Jobs and calls in progress at the same time. */
 const PARALLEL = 8;
 const SERVERS = 8;
@@ -107,6 +116,31 @@
   pool.close();
 }
 
+/** Sends orders over HTTP to a server of this process that runs nothing. */
+async function sendOrders(clock: Clock, ip: string): Promise<void> {
+  const address = `${ip}:${REHEARSAL_PORT}`;
+  const server = new HttpServer(new Hono().all('*', (context) => context.json(idleServerReply)).fetch);
+  await server.listen(address);
+  const client = new ServerClient('warm-up' as ServerId, address, CALL_TIMEOUT_MS);
+  for (let sent = 0; sent < ORDERS; sent += PARALLEL) {
+    const group = Array.from({ length: PARALLEL }, (_unused, index) =>
+      index % 2 === 0
+        ? client.startRun({
+            task: `${sent}.0.0.${index}` as TaskId,
+            run: 1,
+            specification: 'warm-up',
+            leaseEndMs: 0,
+            fencingToken: 1,
+          })
+        : client.renewLeases({ fencingToken: 1, acknowledged: 0, leaseEndMs: 0, waitMs: 0 }),
+    );
+    await Promise.all<unknown>(group);
+    await clock.pause(PAUSE_MS);
+  }
+  client.close();
+  server.close();
+}
+
 /** Calls the instance's own callers' interface with a route that does not exist. */
 async function sendCalls(clock: Clock, callersAddress: string): Promise<void> {
   const client = new JsonClient(callersAddress, PARALLEL);
@@ -132,10 +166,12 @@
 export async function warmUp(
   clock: Clock,
   log: Logger,
+  ip: string,
   callersAddress: string | undefined,
 ): Promise<void> {
   const startedMs = clock.now();
   await runJobs(clock, log);
+  await sendOrders(clock, ip);
   if (callersAddress !== undefined) {
     await sendCalls(clock, callersAddress);
   }
--- a/packages/kernel/src/engine/compute-urgency.ts
+++ b/packages/kernel/src/engine/compute-urgency.ts
@@ -3,29 +3,56 @@
 import type { RunTimeBook } from './run-time-book';
 import type { Urgency } from './urgency';
 
-/**
- * Places a job in the order of starts: earliest objective first among jobs that can still meet it,
- * then late jobs by the work that is left, so that a crest of demand leaves few jobs unserved.
- */
-export function computeUrgency(job: EngineJob, book: RunTimeBook, nowMs: number): Urgency {
+/** End times of the longest chain of a job's steps, in milliseconds from now. */
+interface Chain {
+  /** Of all the work, as if nothing were done. */
+  readonly wholeMs: number;
+  /** Of the work that is left. */
+  readonly openMs: number;
+  /** Processor time that is left, in milliseconds of a thousandth of a core. */
+  readonly work: number;
+}
+
+/** Follows the steps in their order; a step waits for the longest of those before it. */
+function computeChain(job: EngineJob, book: RunTimeBook): Chain {
   const { steps, queue } = job.spec;
-  const endOfStep: number[] = [];
-  const openEndOfStep: number[] = [];
+  const wholeEnds: number[] = [];
+  const openEnds: number[] = [];
+  let wholeMs = 0;
+  let openMs = 0;
   let work = 0;
-  steps.forEach((step, index) => {
+  for (let index = 0; index < steps.length; index += 1) {
+    const step = steps[index]!;
     const runMs = book.estimateRunMs(queue.name, index, step.estimatedMs);
     const open = job.openByStep[index]!;
-    const before = Math.max(0, ...step.after.map((earlier) => endOfStep[earlier] ?? 0));
-    const openBefore = Math.max(0, ...step.after.map((earlier) => openEndOfStep[earlier] ?? 0));
-    endOfStep.push(before + runMs);
-    openEndOfStep.push(openBefore + (open > 0 ? runMs : 0));
+    let wholeEnd = runMs;
+    let openEnd = open > 0 ? runMs : 0;
+    for (let place = 0; place < step.after.length; place += 1) {
+      const earlier = step.after[place]!;
+      wholeEnd = Math.max(wholeEnd, wholeEnds[earlier]! + runMs);
+      openEnd = Math.max(openEnd, openEnds[earlier]! + (open > 0 ? runMs : 0));
+    }
+    wholeEnds.push(wholeEnd);
+    openEnds.push(openEnd);
+    wholeMs = Math.max(wholeMs, wholeEnd);
+    openMs = Math.max(openMs, openEnd);
     work += open * runMs * step.demand.cpuMilli;
-  });
-  const objectiveMs = queue.stretch * Math.max(...endOfStep) + queue.targetMs;
-  const endMs = nowMs + Math.max(...openEndOfStep);
+  }
+  return { wholeMs, openMs, work };
+}
+
+/**
+ * Places a job in the order of starts: earliest objective first among jobs that can still meet it,
+ * then late jobs by the work that is left, so that a crest of demand leaves few jobs unserved.
+ */
+export function computeUrgency(job: EngineJob, book: RunTimeBook, nowMs: number): Urgency {
+  const { queue } = job.spec;
+  const chain = computeChain(job, book);
+  const objectiveMs = queue.stretch * chain.wholeMs + queue.targetMs;
+  const endMs = nowMs + chain.openMs;
   if (endMs <= job.arrivedAtMs + objectiveMs) {
     return { band: 0, key: job.arrivedAtMs + objectiveMs };
   }
   const isOfUse = endMs <= job.arrivedAtMs + LATE_FACTOR * objectiveMs;
-  return { band: isOfUse ? 1 : 2, key: work };
+  return { band: isOfUse ? 1 : 2, key: chain.work };
 }
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -22,6 +22,8 @@
 const KEEP_OUTCOMES_MS = 10_000;
 /** What a caller is told to wait when a job was refused for want of time. */
 const RETRY_AFTER_MS = 1_000;
+/** While all servers are full, waiting jobs are ranked and refused this often, in milliseconds. */
+const REFUSAL_PAUSE_MS = 20;
 /** Expected run time of a run that another leader ordered, in milliseconds. */
 const UNKNOWN_RUN_MS = 500;
 
@@ -43,6 +45,8 @@
 
   private effects: EngineEffect[] = [];
 
+  private nextRefusalMs = 0;
+
   /** Open jobs. */
   get openJobs(): number {
     return this.jobs.size;
@@ -195,15 +199,20 @@
   /** Refuses what cannot be of use any more and starts what has room. */
   schedule(nowMs: number): void {
     const waiting = [...this.jobs.values()].filter((job) => job.openTasks > job.runningTasks);
-    if (waiting.length === 0) {
+    const isRefusalDue = nowMs >= this.nextRefusalMs;
+    if (waiting.length === 0 || !(isRefusalDue || this.scheduler.hasRoom(waiting, nowMs))) {
       return;
     }
-    this.scheduler.rankJobs(waiting, nowMs).forEach(({ job, urgency }) => {
-      if (urgency.band === 2 && !job.hasStarted) {
-        this.refuseJob(job, 'no room in time', nowMs);
-      }
-    });
-    const open = waiting.filter((job) => this.jobs.has(job.spec.id));
+    const ranked = this.scheduler.rankJobs(waiting, nowMs);
+    if (isRefusalDue) {
+      this.nextRefusalMs = nowMs + REFUSAL_PAUSE_MS;
+      ranked.forEach(({ job, urgency }) => {
+        if (urgency.band === 2 && !job.hasStarted) {
+          this.refuseJob(job, 'no room in time', nowMs);
+        }
+      });
+    }
+    const open = ranked.filter(({ job }) => this.jobs.has(job.spec.id));
     this.scheduler.placeTasks(open, nowMs, ({ job, task, server }) =>
       this.startRun(job, task, server, nowMs),
     );
--- a/packages/kernel/src/engine/run-scheduler.ts
+++ b/packages/kernel/src/engine/run-scheduler.ts
@@ -35,14 +35,30 @@
     })).sort((a, b) => compareUrgency(a.urgency, b.urgency));
   }
 
+  /** Tells whether any server has room for the smallest demand of these jobs. */
+  hasRoom(jobs: readonly EngineJob[], nowMs: number): boolean {
+    let smallestMilli = Infinity;
+    jobs.forEach(({ spec }) => {
+      spec.steps.forEach(({ demand }) => {
+        smallestMilli = Math.min(smallestMilli, demand.cpuMilli);
+      });
+    });
+    for (const server of this.fleet.listServers()) {
+      if (server.freeCpuMilli >= smallestMilli && server.canStart(nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Places waiting tasks one by one; `start` takes the resources before the next is placed. */
   placeTasks(
-    jobs: Iterable<EngineJob>,
+    ranked: readonly { readonly job: EngineJob }[],
     nowMs: number,
     start: (placement: Placement) => void,
   ): void {
     const smallestUnplaced = new Map<string, number>();
-    this.rankJobs(jobs, nowMs).forEach(({ job }) => {
+    ranked.forEach(({ job }) => {
       job.tasks.forEach((task) => {
         if (task.state !== 'waiting' || nowMs < task.blockedUntilMs || !isTurn(job, task)) {
           return;
