Test the pool's leader without the bench: lost answers, cuts, take-overs, tokens

Found by the tests: an end that an earlier leader's run left on a server was dropped when the job was not known yet, so that a done task ran again; such ends are kept now until the job is handed in.

--- /dev/null
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -0,0 +1,109 @@
+import { createLogger } from 'bunyan';
+import type { HandedJob } from '@guavaspindle/kernel/engine/handed-job';
+import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
+import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import { systemClock } from '@guavaspindle/kernel/time/system-clock';
+import { EntryJobs } from '../src/entry/entry-jobs';
+import type { LeaderPort } from '../src/links/leader-port';
+import { linkTiming } from '../src/links/link-timing';
+import { buildHandedJob } from './fixtures/build-handed-job';
+
+const NEVER = new Promise<void>(() => {});
+
+/** Builds the jobs of an entry instance. */
+function buildEntry(): EntryJobs {
+  return new EntryJobs({
+    clock: systemClock,
+    log: createLogger({ name: 'test', level: 'fatal' }),
+    metrics: { recordStart() {}, recordLook() {}, recordJob() {} },
+    findConfiguration: () => undefined,
+    onLeaderLeaving() {},
+  });
+}
+
+/** Builds a leader that records what it is handed. */
+function buildLeader(): LeaderPort & { handed: Omit<HandedJob, 'owner'>[]; cancels: string[] } {
+  const handed: Omit<HandedJob, 'owner'>[] = [];
+  const cancels: string[] = [];
+  return {
+    handed,
+    cancels,
+    submitJob: (job) => handed.push({ ...job, doneTasks: new Set(job.doneTasks) }),
+    cancelJob: (id) => cancels.push(id),
+  };
+}
+
+describe('the jobs of an entry instance', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('answers every connection on which a job was sent, and hands it in once', async () => {
+    const entry = buildEntry();
+    const leader = buildLeader();
+    entry.setLeader(leader);
+    const { spec } = buildHandedJob();
+    const answers = [entry.runJob(spec, 2_000, NEVER), entry.runJob(spec, 2_000, NEVER)];
+    entry.endJob(spec.id, { kind: 'completed' });
+    expect(await Promise.all(answers)).toEqual([{ kind: 'completed' }, { kind: 'completed' }]);
+    expect(leader.handed).toHaveLength(1);
+  });
+
+  it('tells a new leader what is done and how long runs may live', async () => {
+    const entry = buildEntry();
+    const first = buildLeader();
+    entry.setLeader(first);
+    const { spec } = buildHandedJob({ taskCount: 2 });
+    void entry.runJob(spec, 9_000, NEVER);
+    const task = `${spec.id}.0.0.1` as TaskId;
+    entry.reportDone(spec.id, task);
+    entry.setLeader(undefined);
+    await jest.advanceTimersByTimeAsync(400);
+    const second = buildLeader();
+    entry.setLeader(second);
+    expect(second.handed[0]).toMatchObject({ isResumed: true, ageMs: 400 });
+    expect(second.handed[0]!.doneTasks).toEqual(new Set([task]));
+    expect(second.handed[0]!.runsMayLiveMs).toBe(linkTiming.runsMayLiveMs - 400);
+  });
+
+  it('times each loss anew: a leader in between has runs of its own', async () => {
+    const entry = buildEntry();
+    entry.setLeader(buildLeader());
+    const { spec } = buildHandedJob();
+    void entry.runJob(spec, 20_000, NEVER);
+    entry.setLeader(undefined);
+    await jest.advanceTimersByTimeAsync(500);
+    entry.setLeader(buildLeader());
+    await jest.advanceTimersByTimeAsync(6_000);
+    entry.setLeader(undefined);
+    const third = buildLeader();
+    entry.setLeader(third);
+    expect(third.handed[0]!.runsMayLiveMs).toBe(linkTiming.runsMayLiveMs);
+  });
+
+  it.each<[string, boolean, JobOutcome['kind']]>([
+    ['refuses truly what no leader has had', false, 'not-run'],
+    ['says unknown of what a leader has had', true, 'unknown'],
+  ])('%s', async (_name, hasLeader, kind) => {
+    const entry = buildEntry();
+    entry.setLeader(hasLeader ? buildLeader() : undefined);
+    const outcome = entry.runJob(buildHandedJob().spec, 2_000, NEVER);
+    await jest.advanceTimersByTimeAsync(2_100);
+    expect((await outcome).kind).toBe(kind);
+    expect(entry.openJobs).toBe(0);
+  });
+
+  it('cancels a job whose last caller has left', async () => {
+    const entry = buildEntry();
+    const leader = buildLeader();
+    entry.setLeader(leader);
+    const { spec } = buildHandedJob();
+    void entry.runJob(spec, 2_000, Promise.resolve());
+    await jest.advanceTimersByTimeAsync(1);
+    expect(leader.cancels).toEqual([spec.id]);
+  });
+});
--- /dev/null
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -0,0 +1,245 @@
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
+import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import { buildHandedJob } from './fixtures/build-handed-job';
+import { buildPool } from './fixtures/build-pool';
+import { buildServerReport } from './fixtures/build-server-report';
+import { FakeServer } from './fixtures/fake-server';
+
+const RESUMED = { isResumed: true, runsMayLiveMs: 1_900 };
+
+/** Counts how often a task was started on any of the servers. */
+function countStarts(servers: readonly FakeServer[], task: string): number {
+  return servers.flatMap(({ starts }) => starts).filter((started) => started === task).length;
+}
+
+/** Counts on how many servers a task runs now. */
+function countRunning(servers: readonly FakeServer[], task: string): number {
+  return servers.filter(({ running }) => running.has(task as TaskId)).length;
+}
+
+describe('the leader of a pool', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('runs all tasks of a job once and ends it', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const { pool, entry } = buildPool(servers);
+    const job = buildHandedJob({ taskCount: 6 });
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(400);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    expect(servers.flatMap(({ starts }) => starts)).toHaveLength(6);
+    expect(entry.done).toHaveLength(5);
+    pool.close();
+  });
+
+  it('never starts more than a server holds', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const { pool } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    for (let number = 1; number <= 20; number += 1) {
+      pool.submitJob(buildHandedJob({ number, taskCount: 3 }));
+    }
+    await jest.advanceTimersByTimeAsync(5_000);
+    expect(servers.map(({ peakRuns }) => peakRuns)).toEqual([2, 2]);
+    pool.close();
+  });
+
+  it('starts nothing on a server that drains', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.dropServer('0' as ServerId);
+    const job = buildHandedJob({ taskCount: 4 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(500);
+    expect(servers[0]!.starts).toEqual([]);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  it('notices a lost answer of a renewal soon after the expected end', async () => {
+    const server = new FakeServer();
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob();
+    server.lostRenewals = 1;
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(330);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  it('stops a run whose start was not answered before the task goes on', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    servers.forEach((server) => {
+      server.lostStarts = 1;
+      server.runs = { durationMs: 400, how: 'done' };
+    });
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob();
+    const task = `${job.spec.id}.0.0.0`;
+    pool.submitJob(job);
+    for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += 5) {
+      await jest.advanceTimersByTimeAsync(5);
+      expect(countRunning(servers, task)).toBeLessThanOrEqual(1);
+    }
+    expect(servers.flatMap(({ stops }) => stops)).toContain(task);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  it('adopts the runs of an earlier leader instead of starting them again', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const job = buildHandedJob({ changes: RESUMED });
+    const task = `${job.spec.id}.0.0.0` as TaskId;
+    servers[1]!.runs = { durationMs: 300, how: 'done' };
+    servers[1]!.beginRun(task, 1);
+    const { pool, entry } = buildPool(servers, { token: 20 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(500);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    expect(countStarts(servers, task)).toBe(1);
+    pool.close();
+  });
+
+  it('starts a resumed job only when every server has answered since', async () => {
+    const servers = [new FakeServer(), new FakeServer(), new FakeServer()];
+    const { pool } = buildPool(servers, { listed: 2 });
+    await jest.advanceTimersByTimeAsync(20);
+    // Another leader has used a server that this one has had no reason to look at.
+    const job = buildHandedJob({ changes: RESUMED });
+    const task = `${job.spec.id}.0.0.0` as TaskId;
+    servers[1]!.runs = { durationMs: 600, how: 'done' };
+    servers[1]!.raiseToken(15);
+    servers[1]!.beginRun(task, 1);
+    pool.submitJob(job);
+    // A server that is new says nothing about the others.
+    pool.adoptServer(buildServerReport(2));
+    for (let elapsedMs = 0; elapsedMs < 550; elapsedMs += 10) {
+      await jest.advanceTimersByTimeAsync(10);
+      expect(countRunning(servers, task)).toBe(1);
+    }
+    pool.adoptToken(21);
+    await jest.advanceTimersByTimeAsync(300);
+    expect(countStarts(servers, task)).toBe(1);
+    pool.close();
+  });
+
+  it('stops runs that nobody has handed in after the take-over', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 5_000, how: 'done' };
+    server.beginRun('00000000000000ff.0.0.0' as TaskId, 1);
+    const { pool } = buildPool([server], { token: 20 });
+    await jest.advanceTimersByTimeAsync(700);
+    expect(server.running.size).toBe(0);
+    pool.close();
+  });
+
+  it('counts runs that it took for over when the server answers again', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 10_000, how: 'done' };
+    const { pool } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob({ taskCount: 2 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(100);
+    expect(server.running.size).toBe(2);
+    server.isCutOff = true;
+    // Someone behind the cut extends the leases.
+    for (let elapsedMs = 0; elapsedMs < 3_000; elapsedMs += 100) {
+      await jest.advanceTimersByTimeAsync(100);
+      server.extendLease(performance.now() + 1_000);
+    }
+    pool.cancelJob(job.spec.id);
+    server.isCutOff = false;
+    pool.submitJob(buildHandedJob({ number: 2, taskCount: 2 }));
+    await jest.advanceTimersByTimeAsync(600);
+    expect(server.peakRuns).toBe(2);
+    pool.close();
+  });
+
+  it('gives the tasks of an unreachable server to others once its leases have lapsed', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    servers.forEach((server) => {
+      server.runs = { durationMs: 600, how: 'done' };
+    });
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob({ taskCount: 2 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(50);
+    const used = servers.find(({ starts }) => starts.length > 0)!;
+    used.isCutOff = true;
+    for (let elapsedMs = 0; elapsedMs < 3_500; elapsedMs += 5) {
+      await jest.advanceTimersByTimeAsync(5);
+      expect(countRunning(servers, `${job.spec.id}.0.0.0`)).toBeLessThanOrEqual(1);
+      expect(countRunning(servers, `${job.spec.id}.0.0.1`)).toBeLessThanOrEqual(1);
+    }
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  it('drops the jobs of an instance that stays away', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 5_000, how: 'done' };
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildHandedJob());
+    await jest.advanceTimersByTimeAsync(50);
+    pool.dropEntry('entry-1' as InstanceName, entry);
+    await jest.advanceTimersByTimeAsync(500);
+    expect(server.running.size).toBe(0);
+    expect(pool.openJobs).toBe(0);
+    pool.close();
+  });
+
+  it('starts nothing and extends nothing once a server has seen a higher token', async () => {
+    const server = new FakeServer();
+    const { pool, countFenced } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    server.raiseToken(99);
+    pool.submitJob(buildHandedJob());
+    await jest.advanceTimersByTimeAsync(300);
+    expect(server.starts).toEqual([]);
+    expect(countFenced()).toBeGreaterThan(0);
+    pool.close();
+  });
+});
+
+describe('the leader of a domain that is cut off', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it('extends no lease of a run that the leader outside counts on to lapse', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 5_000, how: 'done' };
+    const foreign = '00000000000000ff.0.0.0' as TaskId;
+    server.beginRun(foreign, 1);
+    server.extendLease(performance.now() + 1_000);
+    const leaseEndMs = performance.now() + 1_000;
+    await jest.advanceTimersByTimeAsync(990);
+    const { pool } = buildPool([server], { token: 30, scope: 'domain' });
+    pool.submitJob(buildHandedJob());
+    while (performance.now() < leaseEndMs + 20) {
+      await jest.advanceTimersByTimeAsync(1);
+    }
+    expect(server.running.has(foreign)).toBe(false);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(server.running.size).toBe(1);
+    pool.close();
+  });
+});
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -9,6 +9,7 @@
 import type { EngineServer } from './engine-server';
 import type { EngineTask } from './engine-task';
 import { findJobOfTask } from './find-job-of-task';
+import { FoundTasks } from './found-tasks';
 import type { HandedJob } from './handed-job';
 import type { JobOutcome } from './job-outcome';
 import { RecentOutcomes } from './recent-outcomes';
@@ -43,6 +44,8 @@
 
   private readonly scheduler = new RunScheduler(this.fleet, this.book);
 
+  private readonly foundDone = new FoundTasks(KEEP_OUTCOMES_MS);
+
   private effects: EngineEffect[] = [];
 
   private nextRefusalMs = 0;
@@ -72,7 +75,9 @@
       this.effects.push({ kind: 'end-job', owner, jobId: spec.id, outcome });
       return;
     }
-    const job = buildEngineJob(handed, nowMs);
+    const found = this.foundDone.takeTasks(spec.id);
+    const doneTasks = new Set([...handed.doneTasks, ...found]);
+    const job = buildEngineJob({ ...handed, doneTasks }, nowMs);
     this.jobs.set(spec.id, job);
     this.adoptRuns(job);
     if (job.openTasks === 0) {
@@ -147,6 +152,9 @@
     const server = this.fleet.findServer(serverId);
     const known = this.findRun(serverId, taskId, run);
     if (server === undefined || known === undefined) {
+      if (how === 'done') {
+        this.noteDone(taskId, run, nowMs);
+      }
       return false;
     }
     server.dropRun(known);
@@ -277,7 +285,7 @@
           durationMs / this.book.estimateRunMs(name, task.step, step.estimatedMs),
         );
         this.book.recordRun(name, task.step, durationMs);
-        this.completeTask(job, task, run, nowMs);
+        this.completeTask(job, task, run.run, nowMs);
         return;
       }
       case 'failed':
@@ -297,7 +305,7 @@
     }
   }
 
-  private completeTask(job: EngineJob, task: EngineTask, run: EngineRun, nowMs: number): void {
+  private completeTask(job: EngineJob, task: EngineTask, run: number, nowMs: number): void {
     task.state = 'done';
     job.openByStep[task.step]! -= 1;
     job.openTasks -= 1;
@@ -310,11 +318,24 @@
         owner,
         jobId: job.spec.id,
         task: task.id,
-        run: run.run,
+        run,
       });
     }
   }
 
+  /** Takes note of a task that an earlier leader's run has completed. */
+  private noteDone(taskId: TaskId, run: number, nowMs: number): void {
+    const jobId = findJobOfTask(taskId);
+    const job = this.jobs.get(jobId);
+    const task = job?.tasks.find(({ id }) => id === taskId);
+    if (job === undefined) {
+      this.foundDone.addTask(jobId, taskId, nowMs);
+    } else if (task?.state === 'waiting') {
+      job.hasStarted = true;
+      this.completeTask(job, task, run, nowMs);
+    }
+  }
+
   private refuseJob(job: EngineJob, reason: string, nowMs: number): void {
     this.endJob(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS }, nowMs);
   }
