--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -100,7 +100,12 @@
   cancelJob(id: JobId, reason: StopReason, nowMs: number): boolean {
     const job = this.jobs.get(id);
     if (job === undefined) {
-      return this.outcomes.findOutcome(id) !== undefined;
+      const outcome = this.outcomes.findOutcome(id);
+      if (outcome?.kind === 'not-run') {
+        // The job may be sent again; it must not start then.
+        this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
+      }
+      return outcome !== undefined;
     }
     this.endJob(job, { kind: 'cancelled' }, nowMs, reason);
     return true;
--- /dev/null
+++ b/packages/kernel/tests/job-engine.property.test.ts
@@ -0,0 +1,297 @@
+import { array, assert, constantFrom, nat, property, record } from 'fast-check';
+import { JobEngine } from '../src/engine/job-engine';
+import type { RunEnd } from '../src/engine/run-end';
+import type { DomainName } from '../src/ids/domain-name';
+import type { InstanceName } from '../src/ids/instance-name';
+import type { JobId } from '../src/ids/job-id';
+import type { QueueName } from '../src/ids/queue-name';
+import type { ServerId } from '../src/ids/server-id';
+import type { ServiceName } from '../src/ids/service-name';
+import type { TaskId } from '../src/ids/task-id';
+
+const SERVERS = 3;
+const CAPACITY_MILLI = 64_000;
+const OWNER = 'entry-1' as InstanceName;
+const SERVICE = 'service' as ServiceName;
+const STEP_MS = 20;
+const RUNS = 2_000;
+const SEED = 20_261_204;
+
+const OPERATIONS = [
+  'submit',
+  'submit-again',
+  'cancel',
+  'deliver-start',
+  'lose-start',
+  'lose-answer',
+  'deliver-stop',
+  'end-done',
+  'end-failed',
+  'restart-server',
+  'drain-server',
+  'drop-owner',
+] as const;
+
+interface Order {
+  readonly kind: 'start' | 'stop';
+  readonly serverId: ServerId;
+  readonly task: TaskId;
+  readonly run: number;
+  readonly jobId: JobId;
+}
+
+/** Servers that carry out orders, lose them or lose the answers, and check what may not happen. */
+class ModelWorld {
+  readonly engine = new JobEngine();
+
+  private readonly orders: Order[] = [];
+
+  private readonly live = new Map<string, Order & { readonly cpuMilli: number }>();
+
+  private readonly closed = new Set<JobId>();
+
+  private readonly refused = new Set<JobId>();
+
+  private readonly demands = new Map<JobId, number>();
+
+  private readonly draining = new Set<ServerId>();
+
+  private nowMs = 0;
+
+  constructor() {
+    for (let index = 0; index < SERVERS; index += 1) {
+      this.listServer(index, false).state = 'usable';
+    }
+  }
+
+  /** Carries out one operation; `choice` picks among what it may apply to. */
+  runOperation(operation: (typeof OPERATIONS)[number], choice: number): void {
+    this.nowMs += STEP_MS;
+    switch (operation) {
+      case 'submit':
+      case 'submit-again':
+        this.submit(choice, operation === 'submit-again');
+        break;
+      case 'cancel': {
+        const id = this.pickJob(choice);
+        if (id !== undefined && this.engine.cancelJob(id, 'cancelled', this.nowMs)) {
+          this.closed.add(id);
+        }
+        break;
+      }
+      case 'deliver-start':
+      case 'lose-start':
+      case 'lose-answer':
+        this.handleStart(operation, choice);
+        break;
+      case 'deliver-stop':
+        this.handleStop(choice);
+        break;
+      case 'end-done':
+      case 'end-failed':
+        this.endLive(choice, operation === 'end-done' ? 'done' : 'failed');
+        break;
+      case 'restart-server': {
+        const id = String(choice % SERVERS) as ServerId;
+        [...this.live.values()]
+          .filter(({ serverId }) => serverId === id)
+          .forEach((run) => this.endRun(run, 'lost'));
+        break;
+      }
+      case 'drain-server': {
+        const index = choice % SERVERS;
+        this.listServer(index, !this.draining.has(String(index) as ServerId));
+        break;
+      }
+      case 'drop-owner':
+        this.engine.dropOwner(OWNER, this.nowMs);
+        break;
+      default:
+        operation satisfies never;
+    }
+    this.takeEffects();
+  }
+
+  private listServer(index: number, isDraining: boolean) {
+    const id = String(index) as ServerId;
+    if (isDraining) {
+      this.draining.add(id);
+    } else {
+      this.draining.delete(id);
+    }
+    return this.engine.fleet.adoptReport({
+      id,
+      service: SERVICE,
+      domain: 'domain-1' as DomainName,
+      address: `127.0.0.1:${index + 1}`,
+      bornMs: 1,
+      capacity: { cpuMilli: CAPACITY_MILLI, memoryMb: 1_024, gpus: 0 },
+      labels: [],
+      isDraining,
+    });
+  }
+
+  private submit(choice: number, isAgain: boolean): void {
+    const number = isAgain ? choice % Math.max(1, this.demands.size) : this.demands.size;
+    const id = number.toString(16).padStart(16, '0') as JobId;
+    const cpuMilli = this.demands.get(id) ?? 9_000 + (choice % 5) * 9_000;
+    this.demands.set(id, cpuMilli);
+    // What a caller sends again after a refusal or the loss of its instance is a new attempt.
+    this.refused.delete(id);
+    this.engine.submitJob(
+      {
+        spec: {
+          id,
+          specification: '',
+          queue: {
+            name: 'q' as QueueName,
+            service: SERVICE,
+            priority: 0,
+            maxAttempts: 2,
+            stretch: 2,
+            targetMs: 300,
+          },
+          steps: [
+            {
+              taskCount: 1 + (choice % 4),
+              demand: { cpuMilli, memoryMb: 10, gpus: 0 },
+              estimatedMs: 50,
+              after: [],
+              requiredLabel: undefined,
+              preferredRack: undefined,
+              maxPerServer: undefined,
+            },
+          ],
+        },
+        owner: OWNER,
+        ageMs: 0,
+        doneTasks: new Set(),
+        isResumed: false,
+        runsMayLiveMs: 0,
+      },
+      this.nowMs,
+    );
+  }
+
+  private takeEffects(): void {
+    this.engine.schedule(this.nowMs);
+    this.engine.takeEffects().forEach((effect) => {
+      switch (effect.kind) {
+        case 'start-run': {
+          expect(this.closed.has(effect.jobId)).toBe(false);
+          expect(this.refused.has(effect.jobId)).toBe(false);
+          expect(this.draining.has(effect.serverId)).toBe(false);
+          this.orders.push({ ...effect, kind: 'start' });
+          break;
+        }
+        case 'stop-run':
+          this.orders.push({ ...effect, kind: 'stop', jobId: '' as JobId });
+          break;
+        case 'end-job':
+          if (effect.outcome.kind === 'not-run') {
+            this.refused.add(effect.jobId);
+          }
+          break;
+        case 'report-done':
+          break;
+        default:
+          effect satisfies never;
+      }
+    });
+  }
+
+  private handleStart(
+    operation: 'deliver-start' | 'lose-start' | 'lose-answer',
+    choice: number,
+  ): void {
+    const order = this.takeOrder('start', choice);
+    if (order === undefined) {
+      return;
+    }
+    const { serverId, task, run } = order;
+    const wasStopped = this.orders.some(
+      (other) => other.kind === 'stop' && other.task === task && other.run === run,
+    );
+    if (operation !== 'lose-start' && !wasStopped) {
+      this.beginRun(order);
+    }
+    if (operation === 'deliver-start') {
+      this.engine.confirmOrder(serverId, task, run, this.nowMs);
+    } else {
+      this.engine.doubtStart(serverId, task, run, this.nowMs);
+    }
+  }
+
+  private beginRun(order: Order): void {
+    const cpuMilli = this.demands.get(order.jobId)!;
+    const others = [...this.live.values()];
+    expect(others.filter(({ task }) => task === order.task)).toEqual([]);
+    const used = others
+      .filter(({ serverId }) => serverId === order.serverId)
+      .reduce((sum, other) => sum + other.cpuMilli, cpuMilli);
+    expect(used).toBeLessThanOrEqual(CAPACITY_MILLI);
+    this.live.set(order.task, { ...order, cpuMilli });
+  }
+
+  private handleStop(choice: number): void {
+    const order = this.takeOrder('stop', choice);
+    if (order === undefined) {
+      return;
+    }
+    const { serverId, task, run } = order;
+    const pending = this.orders.findIndex(
+      (other) => other.kind === 'start' && other.task === task && other.run === run,
+    );
+    if (pending >= 0) {
+      // The start has not arrived yet and is refused for good once it does.
+      this.orders.splice(pending, 1);
+    }
+    this.live.delete(task);
+    this.engine.confirmOrder(serverId, task, run, this.nowMs);
+    this.engine.endRun(serverId, task, run, 'stopped', this.nowMs);
+  }
+
+  private endLive(choice: number, how: RunEnd): void {
+    const runs = [...this.live.values()];
+    const run = runs[choice % Math.max(1, runs.length)];
+    if (run !== undefined) {
+      this.endRun(run, how);
+    }
+  }
+
+  private endRun(order: Order, how: RunEnd): void {
+    this.live.delete(order.task);
+    this.engine.endRun(order.serverId, order.task, order.run, how, this.nowMs);
+  }
+
+  private takeOrder(kind: Order['kind'], choice: number): Order | undefined {
+    const matching = this.orders.filter((order) => order.kind === kind);
+    const order = matching[choice % Math.max(1, matching.length)];
+    if (order !== undefined) {
+      this.orders.splice(this.orders.indexOf(order), 1);
+    }
+    return order;
+  }
+
+  private pickJob(choice: number): JobId | undefined {
+    const ids = [...this.demands.keys()];
+    return ids[choice % Math.max(1, ids.length)];
+  }
+}
+
+describe('the job engine under lost orders, lost answers, restarts and cancellations', () => {
+  it('runs no task twice at a time, over capacity, on a draining server, after a cancel or a refusal', () => {
+    assert(
+      property(
+        array(record({ operation: constantFrom(...OPERATIONS), choice: nat(1_000) }), {
+          maxLength: 120,
+        }),
+        (operations) => {
+          const world = new ModelWorld();
+          operations.forEach(({ operation, choice }) => world.runOperation(operation, choice));
+        },
+      ),
+      { numRuns: RUNS, seed: SEED },
+    );
+  });
+});
