--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -38,6 +38,13 @@
 /** A shutdown ends so long before the platform would kill the process. */
 const SHUTDOWN_MARGIN_MS = 800;
 const SHUTDOWN_POLL_MS = 20;
+/**
+ * Share of the time for a shutdown in which jobs on open connections are still taken; those that come
+ * later are refused, so that each that was taken can be answered.
+ */
+const TAKING_SHARE = 0.4;
+/** The last answers leave the process in this time. */
+const FLUSH_MS = 50;
 /** Entries that are missing from the store are looked at this often. */
 const MISSING_CHECK_MS = 250;
 
@@ -131,12 +138,19 @@
   return {
     async shutDown(): Promise<void> {
       const endMs = clock.now() + settings.graceMs - SHUTDOWN_MARGIN_MS;
+      const refuseMs = clock.now() + settings.graceMs * TAKING_SHARE;
       isDraining = true;
       callers.beginClosing();
       await keeper.drain();
-      while (entry.openJobs > 0 && clock.now() < endMs) {
+      while (clock.now() < endMs && (entry.openJobs > 0 || clock.now() < refuseMs)) {
+        if (clock.now() >= refuseMs) {
+          entry.refuseNewJobs();
+        }
         await clock.pause(SHUTDOWN_POLL_MS);
       }
+      entry.refuseNewJobs();
+      entry.answerAll('shutdown');
+      await clock.pause(FLUSH_MS);
       log.info({ openJobs: entry.openJobs }, 'instance stops');
       callers.close();
       await registry.dropOwnEntry();
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -35,6 +35,8 @@
 
   private leader: LeaderPort | undefined;
 
+  private isRefusing = false;
+
   private pending: ReadonlyMap<string, number> = new Map();
 
   private readonly cancels = new Map<JobId, (isKnown: boolean) => void>();
@@ -59,12 +61,27 @@
     });
   }
 
+  /** Refuses all jobs from now on; those that are open go on. */
+  refuseNewJobs(): void {
+    this.isRefusing = true;
+  }
+
+  /** Answers all callers that still wait, with what is known. */
+  answerAll(reason: string): void {
+    [...this.jobs.values()].forEach((job) => {
+      [...job.waiters].forEach((settle) => this.giveUp(job, settle, reason));
+    });
+  }
+
   findConfiguration(): Configuration | undefined {
     return this.options.findConfiguration();
   }
 
   async runJob(spec: JobSpec, timeoutMs: number, left: Promise<void>): Promise<JobOutcome> {
     const known = this.jobs.get(spec.id);
+    if (known === undefined && this.isRefusing) {
+      return { kind: 'not-run', reason: 'shutdown', retryAfterMs: RETRY_AFTER_MS };
+    }
     const job = known ?? this.addJob(spec);
     return new Promise((resolve) => {
       const { clock } = this.options;
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -39,6 +39,11 @@
       return;
     }
     let heardAtMs = this.clock.now();
+    // A stream whose peer reads nothing never returns, so the entry is closed without waiting for it.
+    const close = (): void => {
+      entry.endLink();
+      this.host.closeEntry(name, entry);
+    };
     const receive = async (): Promise<void> => {
       for (let next = first; next.done !== true; next = await iterator.next()) {
         heardAtMs = this.clock.now();
@@ -48,10 +53,11 @@
     // However the stream ends, the link is closed below.
     void receive()
       .catch(() => {})
-      .finally(() => entry.batches.close());
+      .finally(close);
     const ticker = setInterval(() => {
       if (this.clock.now() - heardAtMs > linkTiming.silenceMs) {
-        entry.batches.close();
+        clearInterval(ticker);
+        close();
       } else {
         entry.sendPing();
       }
@@ -60,8 +66,7 @@
       yield* entry.batches;
     } finally {
       clearInterval(ticker);
-      entry.batches.close();
-      this.host.closeEntry(name, entry);
+      close();
     }
   }
 
--- a/packages/instance/src/links/link-timing.ts
+++ b/packages/instance/src/links/link-timing.ts
@@ -3,12 +3,12 @@
   /** An idle side sends an empty batch this often. */
   pingMs: 100,
   /** A link without any message for so long is closed; several pings and a pause of the process. */
-  silenceMs: 400,
+  silenceMs: 600,
   /** A link that is not open after so long is given up; several round trips between domains. */
-  openMs: 250,
+  openMs: 400,
   /**
    * After a link is lost, runs for its jobs may live so long: until the leader notices the silence,
    * waits for the link to come back, stops them, and their leases lapse.
    */
-  runsMayLiveMs: 1_900,
+  runsMayLiveMs: 2_100,
 } as const;
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -19,7 +19,7 @@
 
 /** Leads a pool of backend servers: runs the engine's orders and passes outcomes to the entries. */
 export class PoolLeader implements FleetListener {
-  private readonly engine = new JobEngine();
+  private readonly engine: JobEngine;
 
   private readonly sessions = new Map<ServerId, ServerSession>();
 
@@ -42,6 +42,7 @@
 
   constructor(private readonly options: PoolOptions) {
     this.token = options.fencingToken;
+    this.engine = new JobEngine(options.domain === undefined);
     this.ticker = setInterval(() => this.runTick(), TICK_MS);
   }
 
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -216,6 +216,34 @@
   });
 });
 
+describe('copies of a job that was refused', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  it.each([
+    ['refuses the copy that an instance hands in again after a lost link', true, 0],
+    ['runs what the caller sends again', false, 1],
+  ])('%s', async (_name, isResumed, starts) => {
+    const server = new FakeServer();
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    // So old that it is of no use any more.
+    const job = buildHandedJob({ changes: { ageMs: 60_000 } });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(60);
+    expect(entry.outcomes.get(job.spec.id)?.kind).toBe('not-run');
+    pool.submitJob({ ...job, ageMs: 0, isResumed });
+    await jest.advanceTimersByTimeAsync(200);
+    expect(server.starts).toHaveLength(starts);
+    pool.close();
+  });
+});
+
 describe('the leader of a domain that is cut off', () => {
   beforeEach(() => {
     jest.useFakeTimers();
@@ -243,4 +271,19 @@
     expect(server.running.size).toBe(1);
     pool.close();
   });
+
+  it('takes over no run of its own jobs either: the leader outside may have started it again', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 5_000, how: 'done' };
+    const job = buildHandedJob({ changes: RESUMED });
+    const task = `${job.spec.id}.0.0.0` as TaskId;
+    server.beginRun(task, 1);
+    const { pool } = buildPool([server], { token: 30, scope: 'domain' });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(1_500);
+    expect(server.running.size).toBe(0);
+    await jest.advanceTimersByTimeAsync(600);
+    expect(server.running.size).toBe(1);
+    pool.close();
+  });
 });
--- a/packages/kernel/src/engine/build-engine-job.ts
+++ b/packages/kernel/src/engine/build-engine-job.ts
@@ -35,6 +35,6 @@
     openByStep,
     openTasks: openByStep.reduce((sum, count) => sum + count, 0),
     runningTasks: 0,
-    hasStarted: handed.isResumed,
+    hasStarted: handed.isResumed || doneTasks.size > 0,
   };
 }
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -28,6 +28,14 @@
 /** Expected run time of a run that another leader ordered, in milliseconds. */
 const UNKNOWN_RUN_MS = 500;
 
+/**
+ * Tells whether a job that ended with this outcome may run when it is handed in once more. A caller may
+ * send a refused job again, but a copy that an instance hands in again was refused with the first.
+ */
+function isNewAttempt(outcome: JobOutcome, isResumed: boolean): boolean {
+  return outcome.kind === 'unknown' || (outcome.kind === 'not-run' && !isResumed);
+}
+
 /** Notes that a run of a task is in progress. */
 function attachRun(job: EngineJob, task: EngineTask, run: EngineRun): void {
   task.state = 'running';
@@ -59,6 +67,12 @@
 
   private nextRefusalMs = 0;
 
+  /**
+   * @param adoptsRuns - whether runs found on servers go on for their jobs; false if another leader
+   *   may count on their leases to lapse
+   */
+  constructor(private readonly adoptsRuns = true) {}
+
   /** Open jobs. */
   get openJobs(): number {
     return this.jobs.size;
@@ -80,7 +94,7 @@
       return;
     }
     const outcome = this.outcomes.findOutcome(spec.id);
-    if (outcome !== undefined && outcome.kind !== 'not-run') {
+    if (outcome !== undefined && !isNewAttempt(outcome, handed.isResumed)) {
       this.effects.push({ kind: 'end-job', owner, jobId: spec.id, outcome });
       return;
     }
@@ -101,7 +115,7 @@
     const job = this.jobs.get(id);
     if (job === undefined) {
       const outcome = this.outcomes.findOutcome(id);
-      if (outcome?.kind === 'not-run') {
+      if (outcome?.kind === 'not-run' || outcome?.kind === 'unknown') {
         // The job may be sent again; it must not start then.
         this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
       }
@@ -120,7 +134,7 @@
         // Whoever sends the job again starts it anew, after these runs are over.
         this.outcomes.recordOutcome(
           job.spec.id,
-          { kind: 'not-run', reason: 'owner lost', retryAfterMs: RETRY_AFTER_MS },
+          { kind: 'unknown', reason: 'the instance that had taken the job was lost' },
           nowMs,
         );
       });
@@ -197,7 +211,7 @@
       percent: 0,
     };
     server.addRun(adopted);
-    if (job !== undefined && owned?.state === 'waiting') {
+    if (this.adoptsRuns && job !== undefined && owned?.state === 'waiting') {
       attachRun(job, owned, adopted);
     }
   }
@@ -375,6 +389,9 @@
   }
 
   private adoptRuns(job: EngineJob): void {
+    if (!this.adoptsRuns) {
+      return;
+    }
     const byId = new Map(job.tasks.map((task) => [task.id, task]));
     [...this.fleet.listPool(job.spec.queue.service)].forEach((server) => {
       server.runs.forEach((run) => {
