--- a/packages/instance/tests/whole-path.test.ts
+++ b/packages/instance/tests/whole-path.test.ts
@@ -1,5 +1,5 @@
 /* eslint-disable no-await-in-loop -- one request after the other */
-import { buildConfigurationText } from '../../../platform/tests/fixtures/build-configuration-text';
+import { buildConfigurationText } from '@guavaspindle/platform-adapter/stand-ins/build-configuration-text';
 import { TestSite } from './fixtures/test-site';
 
 const JOB = '/q/00000000000000a1';
