Jobs of a cut domain wait for its leases; links to a domain's leader stay

Ruled out: adoption of runs (the later start was run 1 on another server), order of hand-in. Tests fail without the change by construction (the field did not exist).

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -171,6 +171,7 @@
       doneTasks: new Set(),
       waiters: new Set(),
       wasSent: false,
+      hadDomainLeader: false,
       lostAtMs: undefined,
     };
     this.jobs.set(spec.id, job);
@@ -190,7 +191,9 @@
       doneTasks: job.doneTasks,
       isResumed: job.wasSent,
       runsMayLiveMs: job.wasSent ? Math.max(0, linkTiming.runsMayLiveMs - lostForMs) : 0,
+      runsMayHide: job.hadDomainLeader,
     });
+    job.hadDomainLeader = this.leader.isDomainOnly;
     job.wasSent = true;
     job.lostAtMs = undefined;
   }
--- a/packages/instance/src/entry/open-job.ts
+++ b/packages/instance/src/entry/open-job.ts
@@ -13,6 +13,8 @@
   readonly waiters: Set<(outcome: JobOutcome) => void>;
   /** True once a leader may have had the job. */
   wasSent: boolean;
+  /** True if the leader that had it last led a cut-off domain alone. */
+  hadDomainLeader: boolean;
   /** When the link to the leader that had it was lost; monotonic milliseconds. */
   lostAtMs: number | undefined;
 }
--- a/packages/instance/src/lead/lead-keeper.ts
+++ b/packages/instance/src/lead/lead-keeper.ts
@@ -118,9 +118,9 @@
     this.wakeUp();
   }
 
-  openEntry(name: InstanceName, port: EntryPort): boolean {
+  openEntry(name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined {
     this.pool?.addEntry(name, port);
-    return this.pool !== undefined;
+    return this.pool === undefined ? undefined : this.scope;
   }
 
   closeEntry(name: InstanceName, port: EntryPort): void {
@@ -191,6 +191,10 @@
     if (link === undefined || claim === undefined) {
       return;
     }
+    if (link.isDomainOnly) {
+      // That instance looks for the way back, and the link ends when it has found it.
+      return;
+    }
     if (claim.leader.incarnation !== link.leader.incarnation) {
       link.close(`${claim.leader.name} leads now`);
       return;
@@ -341,6 +345,7 @@
     this.link?.close('this instance leads');
     pool.addEntry(self.name, entry);
     entry.setLeader({
+      isDomainOnly: scope === 'domain',
       submitJob: (handed) => pool.submitJob({ ...handed, owner: self.name }),
       cancelJob: (id, callerLeft) => {
         const isKnown = pool.cancelJob(id);
--- a/packages/instance/src/links/decode-job.ts
+++ b/packages/instance/src/links/decode-job.ts
@@ -36,5 +36,6 @@
     doneTasks: new Set(job.doneTasks as TaskId[]),
     isResumed: job.isResumed,
     runsMayLiveMs: job.runsMayLiveMs,
+    runsMayHide: job.runsMayHide,
   };
 }
--- a/packages/instance/src/links/encode-job.ts
+++ b/packages/instance/src/links/encode-job.ts
@@ -27,5 +27,6 @@
     doneTasks: [...handed.doneTasks],
     isResumed: handed.isResumed,
     runsMayLiveMs: Math.ceil(handed.runsMayLiveMs),
+    runsMayHide: handed.runsMayHide,
   });
 }
--- a/packages/instance/src/links/lead-host.ts
+++ b/packages/instance/src/links/lead-host.ts
@@ -6,8 +6,8 @@
 
 /** What the links need of an instance that may lead. */
 export interface LeadHost {
-  /** Connects an entry; false if this instance does not lead. */
-  openEntry(name: InstanceName, port: EntryPort): boolean;
+  /** Connects an entry and tells what this instance leads; undefined if it does not lead. */
+  openEntry(name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined;
   closeEntry(name: InstanceName, port: EntryPort): void;
   submitJob(handed: HandedJob): void;
   cancelJob(id: JobId): boolean;
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -30,6 +30,8 @@
 
   private heardAt: number;
 
+  private leadsDomainOnly = false;
+
   private isOver = false;
 
   private ticker: NodeJS.Timeout | undefined;
@@ -46,6 +48,10 @@
     this.heardAt = clock.now();
   }
 
+  get isDomainOnly(): boolean {
+    return this.leadsDomainOnly;
+  }
+
   /** When the leader was last heard, monotonic milliseconds. */
   get heardAtMs(): number {
     return this.heardAt;
@@ -75,6 +81,7 @@
       this.close('not opened');
       return first?.done === false ? 'not-leader' : 'unreachable';
     }
+    this.leadsDomainOnly = first.value.hello.isDomainOnly;
     this.heardAt = this.clock.now();
     this.ticker = setInterval(() => this.checkSilence(), linkTiming.pingMs);
     void this.handleReplies(replies);
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -33,9 +33,11 @@
     const first = await iterator.next();
     const name = (first.done === true ? '' : (first.value.hello?.instance ?? '')) as InstanceName;
     const entry = new RemoteEntry();
-    const isLeader = name !== '' && this.host.openEntry(name, entry);
-    yield create(LeaderBatchSchema, { hello: { isLeader } });
-    if (!isLeader) {
+    const scope = name === '' ? undefined : this.host.openEntry(name, entry);
+    yield create(LeaderBatchSchema, {
+      hello: { isLeader: scope !== undefined, isDomainOnly: scope === 'domain' },
+    });
+    if (scope === undefined) {
       return;
     }
     let heardAtMs = this.clock.now();
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -104,6 +104,7 @@
         doneTasks: new Set<never>(),
         isResumed: false,
         runsMayLiveMs: 0,
+        runsMayHide: false,
       };
       await new Promise<void>((resolve) => {
         waiting.set(id, resolve);
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -22,10 +22,13 @@
 }
 
 /** Builds a leader that records what it is handed. */
-function buildLeader(): LeaderPort & { handed: Omit<HandedJob, 'owner'>[]; cancels: string[] } {
+function buildLeader(
+  isDomainOnly = false,
+): LeaderPort & { handed: Omit<HandedJob, 'owner'>[]; cancels: string[] } {
   const handed: Omit<HandedJob, 'owner'>[] = [];
   const cancels: string[] = [];
   return {
+    isDomainOnly,
     handed,
     cancels,
     submitJob: (job) => handed.push({ ...job, doneTasks: new Set(job.doneTasks) }),
@@ -85,6 +88,16 @@
     expect(third.handed[0]!.runsMayLiveMs).toBe(linkTiming.runsMayLiveMs);
   });
 
+  it('says that runs of a cut-off domain’s leader may be on servers that nobody else knows', () => {
+    const entry = buildEntry();
+    entry.setLeader(buildLeader(true));
+    void entry.runJob(buildHandedJob().spec, 20_000, NEVER);
+    entry.setLeader(undefined);
+    const second = buildLeader();
+    entry.setLeader(second);
+    expect(second.handed[0]).toMatchObject({ isResumed: true, runsMayHide: true });
+  });
+
   it.each<[string, boolean, JobOutcome['kind']]>([
     ['refuses truly what no leader has had', false, 'not-run'],
     ['says unknown of what a leader has had', true, 'unknown'],
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -135,6 +135,25 @@
     pool.close();
   });
 
+  it('waits for the leases of runs on servers that it does not know', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const { pool } = buildPool(servers, { listed: 1 });
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob({ changes: { ...RESUMED, runsMayHide: true } });
+    const task = `${job.spec.id}.0.0.0` as TaskId;
+    servers[1]!.runs = { durationMs: 5_000, how: 'done' };
+    servers[1]!.beginRun(task, 1);
+    servers[1]!.extendLease(performance.now() + 1_000);
+    pool.submitJob(job);
+    for (let elapsedMs = 0; elapsedMs < 1_800; elapsedMs += 10) {
+      await jest.advanceTimersByTimeAsync(10);
+      expect(countRunning(servers, task)).toBeLessThanOrEqual(1);
+    }
+    await jest.advanceTimersByTimeAsync(300);
+    expect(countStarts(servers, task)).toBe(2);
+    pool.close();
+  });
+
   it('stops runs that nobody has handed in after the take-over', async () => {
     const server = new FakeServer();
     server.runs = { durationMs: 5_000, how: 'done' };
--- a/packages/kernel/src/engine/build-engine-job.ts
+++ b/packages/kernel/src/engine/build-engine-job.ts
@@ -35,6 +35,7 @@
     openByStep,
     openTasks: openByStep.reduce((sum, count) => sum + count, 0),
     runningTasks: 0,
+    runsMayHide: handed.runsMayHide,
     hasStarted: handed.isResumed || doneTasks.size > 0,
   };
 }
--- a/packages/kernel/src/engine/engine-job.ts
+++ b/packages/kernel/src/engine/engine-job.ts
@@ -16,6 +16,8 @@
   openTasks: number;
   /** Tasks with a run in progress. */
   runningTasks: number;
+  /** Runs of an earlier leader may be on servers that are not known here: only time tells. */
+  readonly runsMayHide: boolean;
   /** True once any run was ordered, also by an earlier leader. */
   hasStarted: boolean;
 }
--- a/packages/kernel/src/engine/handed-job.ts
+++ b/packages/kernel/src/engine/handed-job.ts
@@ -14,4 +14,6 @@
   readonly isResumed: boolean;
   /** How long runs ordered by an earlier leader may still be alive, in milliseconds. */
   readonly runsMayLiveMs: number;
+  /** True if those runs may be on servers that this leader does not know. */
+  readonly runsMayHide: boolean;
 }
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -166,9 +166,12 @@
     this.endRun(serverId, task, run, 'lost', nowMs);
   }
 
-  /** Lets tasks of resumed jobs start: all runs of an earlier leader are known. */
+  /** Lets tasks of resumed jobs start: all runs on servers that are known here are listed. */
   releaseBlocks(): void {
     this.jobs.forEach((job) => {
+      if (job.runsMayHide) {
+        return;
+      }
       job.tasks.forEach((task) => {
         task.blockedUntilMs = 0;
       });
--- a/packages/kernel/tests/job-engine.property.test.ts
+++ b/packages/kernel/tests/job-engine.property.test.ts
@@ -168,6 +168,7 @@
         doneTasks: new Set(),
         isResumed: false,
         runsMayLiveMs: 0,
+        runsMayHide: false,
       },
       this.nowMs,
     );
