--- a/packages/kernel/tests/crest-of-demand.test.ts
+++ b/packages/kernel/tests/crest-of-demand.test.ts
@@ -3,10 +3,10 @@
 
 /**
  * The least worth at each mean rate, from the comparison of orders on one pool in the project's
- * design position: least work first, four seeds.
+ * design position: by objective at 66, least work first at 120.
  */
 const TARGETS = [
-  { jobsPerSecond: 66, worth: 0.98 },
+  { jobsPerSecond: 66, worth: 0.999 },
   { jobsPerSecond: 120, worth: 0.871 },
 ];
 const BURST = { factor: 1.3, atMs: 10_000, forMs: 4_000 };
