Runs of cut-off leaders: no lease extended, no server forgotten, no start for silent instances

The leader outside a cut found runs of the leader inside on servers that both could claim to know, and extended their leases while it waited for their jobs. The leader inside counted on the lapse (34.208 s in the trace) and started the tasks again; the runs lived on. 2. Entries of cut servers lapse after 4.5 s and their sessions were closed, since they were idle. After the heal "every server has answered" said nothing of them, and resumed tasks started while the cut-off leader's runs lived.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -33,6 +33,11 @@
 const ORDER_TIMEOUT_MS = 250;
 /** Changes of servers are read together; well within the time that a draining server leaves. */
 const FLEET_PACE_MS = 500;
+/**
+ * An instance whose store failed within this time may share a cut with the leader: entries of servers
+ * lapse after three heartbeats, and a cut is over a little before the store answers again.
+ */
+const STORE_LOSS_MS = 5_000;
 /** Port of the metrics; `metrics` in the deploy file names the same. */
 const METRICS_PORT = 9_464;
 /** A shutdown ends so long before the platform would kill the process. */
@@ -70,6 +75,8 @@
     metrics,
     findConfiguration: () => configuration.findConfiguration(),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
+    hasLostStore: () => registryMirror.hasFailedWithin(STORE_LOSS_MS),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
     onLeaderLeaving: () => keeper.recordLeaving(),
   });
   // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
@@ -90,6 +97,10 @@
     return pool;
   };
   const keeper = new LeadKeeper({ self, registry, entry, clock, log, openPool });
+  const registryMirror = new PrefixMirror(
+    { prefix: Registry.prefix, store, clock, log, paceMs: 0 },
+    registry,
+  );
   const mirrors = [
     new PrefixMirror(
       { prefix: storeKeys.configuration, store, clock, log, paceMs: 0 },
@@ -99,7 +110,7 @@
       { prefix: storeKeys.servers, store, clock, log, paceMs: FLEET_PACE_MS },
       fleet,
     ),
-    new PrefixMirror({ prefix: Registry.prefix, store, clock, log, paceMs: 0 }, registry),
+    registryMirror,
   ];
 
   let isDraining = false;
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -25,6 +25,8 @@
   readonly log: Logger;
   readonly metrics: PoolMetrics;
   findConfiguration(): Configuration | undefined;
+  /** Tells whether the platform's store has been out of reach lately. */
+  hasLostStore(): boolean;
   /** The leader gives up the lead. */
   onLeaderLeaving(): void;
 }
@@ -164,6 +166,12 @@
   // eslint-disable-next-line class-methods-use-this -- part of the port
   endLink(): void {}
 
+  // It is this process.
+  // eslint-disable-next-line class-methods-use-this -- part of the port
+  isSilent(): boolean {
+    return false;
+  }
+
   private addJob(spec: JobSpec): OpenJob {
     const job: OpenJob = {
       spec,
@@ -191,7 +199,8 @@
       doneTasks: job.doneTasks,
       isResumed: job.wasSent,
       runsMayLiveMs: job.wasSent ? Math.max(0, linkTiming.runsMayLiveMs - lostForMs) : 0,
-      runsMayHide: job.hadDomainLeader,
+      // A leader that was cut off with this instance may have used servers whose entries have lapsed.
+      runsMayHide: job.hadDomainLeader || this.options.hasLostStore(),
     });
     job.hadDomainLeader = this.leader.isDomainOnly;
     job.wasSent = true;
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -13,4 +13,6 @@
   reportLeaving(): void;
   /** The instance does not lead any more: the link is over. */
   endLink(): void;
+  /** Tells whether the instance has not been heard for longer than a few pings. */
+  isSilent(): boolean;
 }
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -32,7 +32,7 @@
     const iterator = requests[Symbol.asyncIterator]();
     const first = await iterator.next();
     const name = (first.done === true ? '' : (first.value.hello?.instance ?? '')) as InstanceName;
-    const entry = new RemoteEntry();
+    const entry = new RemoteEntry(this.clock);
     const scope = name === '' ? undefined : this.host.openEntry(name, entry);
     yield create(LeaderBatchSchema, {
       hello: { isLeader: scope !== undefined, isDomainOnly: scope === 'domain' },
@@ -40,7 +40,6 @@
     if (scope === undefined) {
       return;
     }
-    let heardAtMs = this.clock.now();
     // A stream whose peer reads nothing never returns, so the entry is closed without waiting for it.
     const close = (): void => {
       entry.endLink();
@@ -48,7 +47,7 @@
     };
     const receive = async (): Promise<void> => {
       for (let next = first; next.done !== true; next = await iterator.next()) {
-        heardAtMs = this.clock.now();
+        entry.recordHeard();
         this.handleBatch(next.value, name, entry);
       }
     };
@@ -57,7 +56,7 @@
       .catch(() => {})
       .finally(close);
     const ticker = setInterval(() => {
-      if (this.clock.now() - heardAtMs > linkTiming.silenceMs) {
+      if (this.clock.now() - entry.heardAtMs > linkTiming.silenceMs) {
         clearInterval(ticker);
         close();
       } else {
--- a/packages/instance/src/links/link-timing.ts
+++ b/packages/instance/src/links/link-timing.ts
@@ -2,6 +2,11 @@
 export const linkTiming = {
   /** An idle side sends an empty batch this often. */
   pingMs: 100,
+  /**
+   * The leader starts nothing for an instance that it has not heard for so long: less than the
+   * silence after which that instance hands its jobs to another leader.
+   */
+  quietMs: 300,
   /** A link without any message for so long is closed; several pings and a pause of the process. */
   silenceMs: 600,
   /** A link that is not open after so long is given up; several round trips between domains. */
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -9,14 +9,36 @@
   LeaderBatchSchema,
   type LeaderBatch,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { BatchQueue } from './batch-queue';
 import { encodeOutcome } from './encode-outcome';
 import type { EntryPort } from './entry-port';
+import { linkTiming } from './link-timing';
 
 /** An entry instance at the other end of a link, as the leader sees it. */
 export class RemoteEntry implements EntryPort {
   readonly batches = new BatchQueue<LeaderBatch>(() => create(LeaderBatchSchema));
 
+  /** When the instance was last heard, monotonic milliseconds. */
+  private heardAt: number;
+
+  constructor(private readonly clock: Clock) {
+    this.heardAt = clock.now();
+  }
+
+  get heardAtMs(): number {
+    return this.heardAt;
+  }
+
+  /** Notes that a message of the instance has come. */
+  recordHeard(): void {
+    this.heardAt = this.clock.now();
+  }
+
+  isSilent(): boolean {
+    return this.clock.now() - this.heardAt > linkTiming.quietMs;
+  }
+
   endJob(id: JobId, outcome: JobOutcome): void {
     this.batches.addToBatch((batch) => {
       batch.ended.push(create(EndedJobSchema, { id, outcome: encodeOutcome(outcome) }));
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -14,6 +14,11 @@
 const CLAIM_GRACE_MS = 400;
 /** An instance that has lost its link may open another one before its jobs are dropped. */
 const OWNER_GRACE_MS = 300;
+/**
+ * A server whose entry is gone is asked for its runs for so long: an earlier leader that is cut off
+ * together with it may use it on. Longer cuts are told by the entry instances behind them.
+ */
+const KEEP_GONE_MS = 60_000;
 /** Waiting tasks are looked at again this often: blocks and pauses end without an event. */
 const TICK_MS = 25;
 
@@ -23,7 +28,8 @@
 
   private readonly sessions = new Map<ServerId, ServerSession>();
 
-  private readonly gone = new Set<ServerId>();
+  /** Servers whose entries are gone, and since when; monotonic milliseconds. */
+  private readonly gone = new Map<ServerId, number>();
 
   private readonly entries = new Map<InstanceName, EntryPort>();
 
@@ -71,7 +77,8 @@
     const server = this.engine.fleet.findServer(id);
     if (server !== undefined) {
       server.report = { ...server.report, isDraining: true };
-      this.gone.add(id);
+      this.gone.set(id, this.options.clock.now());
+      this.sessions.get(id)?.confirmAnew();
     }
   }
 
@@ -79,6 +86,7 @@
   addEntry(name: InstanceName, port: EntryPort): void {
     this.entries.set(name, port);
     this.lostEntries.delete(name);
+    this.engine.markSilence(name, false);
   }
 
   /** Notes that an entry instance's link is gone; its jobs are dropped unless it comes back. */
@@ -86,6 +94,7 @@
     if (this.entries.get(name) === port) {
       this.entries.delete(name);
       this.lostEntries.set(name, this.options.clock.now());
+      this.engine.markSilence(name, true);
     }
   }
 
@@ -142,7 +151,6 @@
       {
         maxLeaseMs,
         stopTimeoutMs,
-        isStrict: this.options.domain !== undefined,
         fencingToken: () => this.token,
         onChange: () => this.requestTurn(),
         onConfirmed: () => this.handleConfirmed(),
@@ -201,15 +209,21 @@
         this.engine.dropOwner(name, nowMs);
       }
     });
-    this.gone.forEach((id) => {
-      if (this.sessions.get(id)?.isIdle() ?? true) {
-        this.gone.delete(id);
-        this.closeSession(id);
-      }
-    });
+    this.entries.forEach((port, name) => this.engine.markSilence(name, port.isSilent()));
+    this.gone.forEach((sinceMs, id) => this.checkGone(id, nowMs - sinceMs));
     this.runTurn();
   }
 
+  /** Closes the session of a server whose entry is gone once no leader can have runs there. */
+  private checkGone(id: ServerId, goneForMs: number): void {
+    const session = this.sessions.get(id);
+    const isOver = session?.isRefusing() === true || goneForMs >= KEEP_GONE_MS;
+    if (session === undefined || (isOver && session.isIdle())) {
+      this.gone.delete(id);
+      this.closeSession(id);
+    }
+  }
+
   /** Lets all that one turn of the loop brings be handled together. */
   private requestTurn(): void {
     if (!this.isTurnDue) {
@@ -236,7 +250,9 @@
         return;
       case 'stop-run':
         this.options.log.debug(effect, 'stop');
-        void this.sessions.get(effect.serverId)?.stopRun(effect.task, effect.run);
+        void this.sessions
+          .get(effect.serverId)
+          ?.stopRun(effect.task, effect.run, effect.reason === 'no-answer');
         return;
       case 'report-done':
         this.entries.get(effect.owner)?.reportDone(effect.jobId, effect.task);
--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -58,6 +58,8 @@
 
   private silences = 0;
 
+  private wasRefused = false;
+
   private looksInProgress = 0;
 
   /** Only a look sent since then confirms the server; own monotonic milliseconds. */
@@ -107,10 +109,13 @@
     }
   }
 
-  /** Sends an order to stop a run until it is answered or the run is over. */
-  async stopRun(task: TaskId, run: number): Promise<void> {
+  /**
+   * Sends an order to stop a run until it is answered or the run is over. A start that got no answer
+   * may be carried out later, so that its run is over only when a stop has been answered.
+   */
+  async stopRun(task: TaskId, run: number, isStartOpen = false): Promise<void> {
     this.wakeUp();
-    while (!this.isClosed && this.server.runs.get(task)?.run === run) {
+    while (!this.isClosed && (isStartOpen || this.server.runs.get(task)?.run === run)) {
       const answer = await this.client.stopRun(task, run, this.options.fencingToken());
       if (this.isClosed) {
         return;
@@ -158,6 +163,11 @@
     return this.server.runs.size === 0;
   }
 
+  /** Tells whether the last call found nobody listening at the server's address. */
+  isRefusing(): boolean {
+    return this.wasRefused;
+  }
+
   /** Ends the session; the server's runs go on until their leases lapse. */
   close(): void {
     this.isClosed = true;
@@ -210,7 +220,7 @@
       this.clockOffsetMs !== undefined &&
       this.server.runs.size > 0 &&
       this.silences === 0 &&
-      !(this.options.isStrict && this.engine.hasUnclaimed(this.server));
+      !this.server.hasForeignRuns();
     if (canExtend) {
       this.extendedAtMs = sentAtMs;
     }
@@ -243,6 +253,7 @@
         await this.clock.pause(UNREACHABLE_PAUSE_MS);
         return;
       case 'no-answer':
+        this.wasRefused = state.isRefused;
         await this.handleSilence(state.reason);
         return;
       default:
@@ -253,6 +264,7 @@
   private adoptState(state: Extract<ServerState, { kind: 'state' }>, sentAtMs: number): void {
     const nowMs = this.clock.now();
     const { id } = this.server.report;
+    this.wasRefused = false;
     if (this.silences > 0) {
       this.log.info({ server: id, silences: this.silences }, 'server answers again');
       this.silences = 0;
@@ -291,8 +303,7 @@
       this.hasUnacknowledged = false;
     }
     this.dropVanished(state, sentAtMs, nowMs);
-    const isBlocked = this.options.isStrict && this.engine.hasUnclaimed(this.server);
-    if (wasUnconfirmed && sentAtMs >= this.confirmAfterMs && !isBlocked) {
+    if (wasUnconfirmed && sentAtMs >= this.confirmAfterMs) {
       this.server.state = 'usable';
       this.options.onConfirmed();
     }
--- a/packages/instance/src/pool/session-options.ts
+++ b/packages/instance/src/pool/session-options.ts
@@ -4,11 +4,6 @@
   readonly maxLeaseMs: number;
   /** Longest time that a stop takes, in milliseconds. */
   readonly stopTimeoutMs: number;
-  /**
-   * Stops runs of unknown jobs at once and extends no lease before they are over: their leader is
-   * out of reach and counts on their leases to lapse.
-   */
-  readonly isStrict: boolean;
   /** The token that goes with every order. */
   fencingToken(): number;
   /** The engine's state has changed. */
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -77,6 +77,7 @@
     reportPending() {},
     reportLeaving() {},
     endLink() {},
+    isSilent: () => false,
   };
   pool.addEntry(OWNER, entry);
   for (let index = 0; index < SERVERS; index += 1) {
--- a/packages/instance/src/store/prefix-mirror.ts
+++ b/packages/instance/src/store/prefix-mirror.ts
@@ -31,6 +31,9 @@
 
   private failures = 0;
 
+  /** When a call last failed, monotonic milliseconds. */
+  private failedAtMs: number | undefined;
+
   private isClosed = false;
 
   constructor(
@@ -43,6 +46,14 @@
     return this.answeredAtMs !== undefined && this.failures === 0;
   }
 
+  /** Tells whether a call has failed within the last so many milliseconds, or none was answered. */
+  hasFailedWithin(ms: number): boolean {
+    const { failedAtMs } = this;
+    return (
+      !this.isCurrent() || (failedAtMs !== undefined && this.options.clock.now() - failedAtMs < ms)
+    );
+  }
+
   /** Reads and follows the prefix until it is closed; never rejects. */
   async run(): Promise<void> {
     const { prefix, store, clock, paceMs } = this.options;
@@ -99,7 +110,10 @@
     if (this.failures === 0) {
       log.warn({ prefix, failure }, 'the store does not serve this prefix');
     }
-    this.failures += failure.kind === 'history-lost' ? 0 : 1;
+    if (failure.kind !== 'history-lost') {
+      this.failures += 1;
+      this.failedAtMs = clock.now();
+    }
     await clock.pause(
       Math.min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(10, Math.max(0, this.failures - 1))),
     );
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -11,12 +11,13 @@
 const NEVER = new Promise<void>(() => {});
 
 /** Builds the jobs of an entry instance. */
-function buildEntry(): EntryJobs {
+function buildEntry(hasLostStore = false): EntryJobs {
   return new EntryJobs({
     clock: systemClock,
     log: createLogger({ name: 'test', level: 'fatal' }),
     metrics: { recordStart() {}, recordLook() {}, recordJob() {} },
     findConfiguration: () => undefined,
+    hasLostStore: () => hasLostStore,
     onLeaderLeaving() {},
   });
 }
@@ -98,6 +99,16 @@
     expect(second.handed[0]).toMatchObject({ isResumed: true, runsMayHide: true });
   });
 
+  it('says the same after the store was lost: the leader may have been cut off too', () => {
+    const entry = buildEntry(true);
+    entry.setLeader(buildLeader());
+    void entry.runJob(buildHandedJob().spec, 20_000, NEVER);
+    entry.setLeader(undefined);
+    const second = buildLeader();
+    entry.setLeader(second);
+    expect(second.handed[0]).toMatchObject({ isResumed: true, runsMayHide: true });
+  });
+
   it.each<[string, boolean, JobOutcome['kind']]>([
     ['refuses truly what no leader has had', false, 'not-run'],
     ['says unknown of what a leader has had', true, 'unknown'],
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -154,6 +154,75 @@
     pool.close();
   });
 
+  it('asks a server whose entry is gone before it starts a resumed job', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const { pool } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    servers[1]!.isCutOff = true;
+    pool.dropServer('1' as ServerId);
+    await jest.advanceTimersByTimeAsync(3_000);
+    // The leader behind the cut goes on with the server; the cut heals and its job is handed in here.
+    const job = buildHandedJob({ changes: RESUMED });
+    const task = `${job.spec.id}.0.0.0` as TaskId;
+    servers[1]!.runs = { durationMs: 900, how: 'done' };
+    servers[1]!.beginRun(task, 1);
+    servers[1]!.isCutOff = false;
+    pool.submitJob(job);
+    for (let elapsedMs = 0; elapsedMs < 900; elapsedMs += 10) {
+      await jest.advanceTimersByTimeAsync(10);
+      expect(countRunning(servers, task)).toBeLessThanOrEqual(1);
+    }
+    expect(countStarts(servers, task)).toBe(1);
+    pool.close();
+  });
+
+  it('extends no lease of runs whose jobs nobody has handed in: their leader counts on the lapse', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 5_000, how: 'done' };
+    server.beginRun('00000000000000ff.0.0.0' as TaskId, 1);
+    server.extendLease(performance.now() + 300);
+    const { pool } = buildPool([server], { token: 20 });
+    // A start would extend the leases as well.
+    pool.submitJob(buildHandedJob());
+    await jest.advanceTimersByTimeAsync(310);
+    expect(server.lapsed).toEqual(['00000000000000ff.0.0.0']);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(server.starts).toHaveLength(2);
+    pool.close();
+  });
+
+  it('starts nothing for an instance that it does not hear', async () => {
+    const server = new FakeServer();
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    entry.isQuiet = true;
+    await jest.advanceTimersByTimeAsync(30);
+    pool.submitJob(buildHandedJob());
+    await jest.advanceTimersByTimeAsync(200);
+    expect(server.starts).toEqual([]);
+    entry.isQuiet = false;
+    await jest.advanceTimersByTimeAsync(100);
+    expect(server.starts).toHaveLength(1);
+    pool.close();
+  });
+
+  it('stops a start without an answer also after its lease must have lapsed', async () => {
+    const server = new FakeServer();
+    server.runs = { durationMs: 5_000, how: 'done' };
+    server.lostStarts = 1;
+    const { pool } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob();
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(50);
+    server.isCutOff = true;
+    await jest.advanceTimersByTimeAsync(2_500);
+    server.isCutOff = false;
+    await jest.advanceTimersByTimeAsync(400);
+    expect(server.stops).toContain(`${job.spec.id}.0.0.0`);
+    pool.close();
+  });
+
   it('stops runs that nobody has handed in after the take-over', async () => {
     const server = new FakeServer();
     server.runs = { durationMs: 5_000, how: 'done' };
--- a/packages/kernel/src/engine/engine-run.ts
+++ b/packages/kernel/src/engine/engine-run.ts
@@ -17,6 +17,8 @@
   state: 'starting' | 'running' | 'stopping';
   /** When the server answered the last order for this run; undefined before. */
   answeredAtMs: number | undefined;
+  /** True for a run that another leader ordered, until its job is handed in here. */
+  isForeign: boolean;
   /** Share of the work done as last reported, 0 to 100. */
   percent: number;
 }
--- a/packages/kernel/src/engine/engine-server.ts
+++ b/packages/kernel/src/engine/engine-server.ts
@@ -50,7 +50,7 @@
 
   /** Tells whether a start may be sent now. */
   canStart(nowMs: number): boolean {
-    if (this.state !== 'usable' || this.report.isDraining) {
+    if (this.state !== 'usable' || this.report.isDraining || this.hasForeignRuns()) {
       return false;
     }
     if (this.failuresInRow < SUSPECT_FAILURES) {
@@ -59,6 +59,19 @@
     return this.runs.size === 0 && nowMs >= this.suspectUntilMs;
   }
 
+  /**
+   * Tells whether a run here was ordered by another leader for a job that nobody has handed in. That
+   * leader may be out of reach and count on the lease to lapse, and every start extends it.
+   */
+  hasForeignRuns(): boolean {
+    for (const run of this.runs.values()) {
+      if (run.isForeign) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Tells whether the last runs here failed. */
   isSuspect(): boolean {
     return this.failuresInRow >= SUSPECT_FAILURES;
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -40,6 +40,7 @@
 function attachRun(job: EngineJob, task: EngineTask, run: EngineRun): void {
   task.state = 'running';
   task.current = run;
+  run.isForeign = false;
   task.lastRun = Math.max(task.lastRun, run.run);
   job.runningTasks += 1;
   job.hasStarted = true;
@@ -67,6 +68,8 @@
 
   private nextRefusalMs = 0;
 
+  private readonly silentOwners = new Set<InstanceName>();
+
   /**
    * @param adoptsRuns - whether runs found on servers go on for their jobs; false if another leader
    *   may count on their leases to lapse
@@ -140,6 +143,18 @@
       });
   }
 
+  /**
+   * Notes whether an instance has gone silent. It may have handed its jobs to another leader, so
+   * nothing of them starts until it is heard again.
+   */
+  markSilence(owner: InstanceName, isSilent: boolean): void {
+    if (isSilent) {
+      this.silentOwners.add(owner);
+    } else {
+      this.silentOwners.delete(owner);
+    }
+  }
+
   /** Records that the server has accepted a start or a stop. */
   confirmOrder(serverId: ServerId, task: TaskId, run: number, nowMs: number): void {
     const known = this.findRun(serverId, task, run);
@@ -211,11 +226,17 @@
       expectedMs: UNKNOWN_RUN_MS,
       state: 'running',
       answeredAtMs: nowMs,
+      isForeign: true,
       percent: 0,
     };
     server.addRun(adopted);
-    if (this.adoptsRuns && job !== undefined && owned?.state === 'waiting') {
+    if (!this.adoptsRuns || job === undefined || owned === undefined) {
+      return;
+    }
+    if (owned.state === 'waiting') {
       attachRun(job, owned, adopted);
+    } else {
+      this.stopRun(adopted, 'unclaimed');
     }
   }
 
@@ -223,21 +244,18 @@
   stopUnclaimed(): void {
     [...this.fleet.listServers()].forEach((server) => {
       server.runs.forEach((run) => {
-        if (run.state !== 'stopping' && !this.isClaimed(run)) {
+        if (run.state !== 'stopping' && run.isForeign) {
           this.stopRun(run, 'unclaimed');
         }
       });
     });
   }
 
-  /** Tells whether a server runs what belongs to no open job. */
-  hasUnclaimed(server: EngineServer): boolean {
-    return [...server.runs.values()].some((run) => !this.isClaimed(run));
-  }
-
   /** Refuses what cannot be of use any more and starts what has room. */
   schedule(nowMs: number): void {
-    const waiting = [...this.jobs.values()].filter((job) => job.openTasks > job.runningTasks);
+    const waiting = [...this.jobs.values()].filter(
+      (job) => job.openTasks > job.runningTasks && !this.isOwnerSilent(job),
+    );
     const isRefusalDue = nowMs >= this.nextRefusalMs;
     if (waiting.length === 0 || !(isRefusalDue || this.scheduler.hasRoom(waiting, nowMs))) {
       return;
@@ -274,6 +292,7 @@
       expectedMs: this.book.estimateRunMs(job.spec.queue.name, task.step, step.estimatedMs),
       state: 'starting',
       answeredAtMs: undefined,
+      isForeign: false,
       percent: 0,
     };
     server.addRun(run);
@@ -406,6 +425,10 @@
     });
   }
 
+  private isOwnerSilent(job: EngineJob): boolean {
+    return job.owner !== undefined && this.silentOwners.has(job.owner);
+  }
+
   private canEverRun(job: EngineJob): boolean {
     const { service } = job.spec.queue;
     return job.spec.steps.every((step) =>
@@ -413,11 +436,6 @@
     );
   }
 
-  private isClaimed(run: EngineRun): boolean {
-    const job = this.jobs.get(findJobOfTask(run.task));
-    return job?.tasks.some((task) => task.current === run) ?? false;
-  }
-
   private findRun(serverId: ServerId, task: TaskId, run: number): EngineRun | undefined {
     const known = this.fleet.findServer(serverId)?.runs.get(task);
     return known?.run === run ? known : undefined;
