--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -5,6 +5,8 @@
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
+import { CarriedServer } from '../carriers/carried-server';
+import { CarrierDirectory } from '../carriers/carrier-directory';
 import type { EntryPort } from '../links/entry-port';
 import type { FleetListener } from '../store/fleet-listener';
 import type { PoolOptions } from './pool-options';
@@ -35,6 +37,8 @@
 
   private readonly lostEntries = new Map<InstanceName, number>();
 
+  private readonly carriers = new CarrierDirectory();
+
   private isTurnDue = false;
 
   private isClosed = false;
@@ -84,7 +88,11 @@
 
   /** Connects an entry instance. */
   addEntry(name: InstanceName, port: EntryPort): void {
+    this.dropCarrier(this.entries.get(name));
     this.entries.set(name, port);
+    if (port.carrier !== undefined) {
+      this.carriers.addCarrier(port.carrier);
+    }
     this.lostEntries.delete(name);
     this.engine.markSilence(name, false);
   }
@@ -93,6 +101,7 @@
   dropEntry(name: InstanceName, port: EntryPort): void {
     if (this.entries.get(name) === port) {
       this.entries.delete(name);
+      this.dropCarrier(port);
       this.lostEntries.set(name, this.options.clock.now());
       this.engine.markSilence(name, true);
     }
@@ -146,7 +155,7 @@
     const { clock, log, metrics, maxLeaseMs, stopTimeoutMs } = this.options;
     const session = new ServerSession(
       server,
-      this.options.openServer(report),
+      new CarriedServer(report, this.carriers, () => this.options.openServer(report), clock),
       this.engine,
       {
         maxLeaseMs,
@@ -176,6 +185,12 @@
     this.engine.fleet.dropServer(id);
   }
 
+  private dropCarrier(port: EntryPort | undefined): void {
+    if (port?.carrier !== undefined) {
+      this.carriers.dropCarrier(port.carrier);
+    }
+  }
+
   private handleUnknownRun(): void {
     if (this.options.domain === undefined) {
       // The instance that waits for the job may be about to hand it in.
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -21,6 +21,7 @@
 import type { PoolMetrics } from '../pool/pool-metrics';
 import { HttpServer } from '../http/http-server';
 import { InMemoryServer } from './in-memory-server';
+import { RehearsalCarrier } from './rehearsal-carrier';
 
 /** How often each path is run. */
 interface WarmUpEffort {
@@ -77,6 +78,7 @@
     onFenced() {},
   });
   const entry: EntryPort = {
+    carrier: new RehearsalCarrier(),
     endJob: (id) => waiting.get(id)?.(),
     reportDone() {},
     answerCancel() {},
