--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -11,7 +11,6 @@
 import { storeKeys } from '@guavaspindle/platform-adapter/store/store-keys';
 import { InstanceService } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import { ControlServer } from '@guavaspindle/runtime/control/control-server';
-import { OrderCarrier } from './carriers/order-carrier';
 import { EntryJobs } from './entry/entry-jobs';
 import { HttpServer } from './http/http-server';
 import { LeadKeeper } from './lead/lead-keeper';
@@ -97,11 +96,7 @@
     fleet.setListener(pool);
     return pool;
   };
-  const carrier = new OrderCarrier(
-    clock,
-    (id, address) => new ServerClient(id, address, ORDER_TIMEOUT_MS),
-  );
-  const keeper = new LeadKeeper({ self, registry, entry, carrier, clock, log, openPool });
+  const keeper = new LeadKeeper({ self, registry, entry, clock, log, openPool });
   const registryMirror = new PrefixMirror(
     { prefix: Registry.prefix, store, clock, log, paceMs: 0 },
     registry,
@@ -171,7 +166,6 @@
       callers.close();
       await registry.dropOwnEntry();
       keeper.close();
-      carrier.close();
       mirrors.forEach((mirror) => mirror.close());
       clearInterval(missingCheck);
       readiness.close();
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -33,9 +33,6 @@
 
 /** The jobs that callers of this instance wait for; hands them to whoever leads. */
 export class EntryJobs implements JobService, EntryPort {
-  // The leader's own process sends orders directly.
-  readonly carrier = undefined;
-
   private readonly jobs = new Map<JobId, OpenJob>();
 
   private leader: LeaderPort | undefined;
--- a/packages/instance/src/lead/lead-keeper.ts
+++ b/packages/instance/src/lead/lead-keeper.ts
@@ -4,7 +4,6 @@
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
-import type { OrderCarrier } from '../carriers/order-carrier';
 import type { EntryJobs } from '../entry/entry-jobs';
 import { askView } from '../links/ask-view';
 import type { EntryPort } from '../links/entry-port';
@@ -21,7 +20,6 @@
   readonly self: InstanceEntry;
   readonly registry: Registry;
   readonly entry: EntryJobs;
-  readonly carrier: OrderCarrier;
   readonly clock: Clock;
   readonly log: Logger;
   /** Starts to lead all servers, or those of the own failure domain alone. */
@@ -370,8 +368,8 @@
   }
 
   private async openLink(leader: InstanceEntry): Promise<boolean> {
-    const { self, clock, entry, carrier, log } = this.options;
-    const link = new LeaderLink(leader, self, clock, entry, carrier, (reason) => {
+    const { self, clock, entry, log } = this.options;
+    const link = new LeaderLink(leader, self, clock, entry, (reason) => {
       if (this.link === link) {
         log.warn({ leader: leader.name, reason }, 'link to the leader lost');
         this.link = undefined;
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -1,7 +1,6 @@
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
-import type { CarrierPort } from '../carriers/carrier-port';
 
 /** What the leader tells an entry instance. */
 export interface EntryPort {
@@ -16,6 +15,4 @@
   endLink(): void;
   /** Tells whether the instance has not been heard for longer than a few pings. */
   isSilent(): boolean;
-  /** Carries orders to backend servers; undefined for the leader's own process. */
-  readonly carrier: CarrierPort | undefined;
 }
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -13,9 +13,7 @@
   JobCancelSchema,
   type EntryBatch,
   type LeaderBatch,
-  type ServerOrder,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
-import type { OrderCarrier } from '../carriers/order-carrier';
 import type { InstanceEntry } from '../registry/instance-entry';
 import { BatchQueue } from './batch-queue';
 import { decodeOutcome } from './decode-outcome';
@@ -44,7 +42,6 @@
     private readonly self: InstanceEntry,
     private readonly clock: Clock,
     private readonly entry: EntryPort,
-    private readonly carrier: OrderCarrier,
     private readonly onClosed: (reason: string) => void,
   ) {
     this.session = new Http2SessionManager(`http://${leader.address}`);
@@ -113,11 +110,6 @@
     this.onClosed(reason);
   }
 
-  private async sendOrder(order: ServerOrder): Promise<void> {
-    const answer = await this.carrier.sendOrder(order);
-    this.batches.addToBatch((batch) => batch.answers.push(answer));
-  }
-
   private checkSilence(): void {
     if (this.clock.now() - this.heardAt > linkTiming.silenceMs) {
       this.close('silent');
@@ -143,9 +135,6 @@
   }
 
   private handleBatch(batch: LeaderBatch): void {
-    batch.orders.forEach((order) => {
-      void this.sendOrder(order);
-    });
     batch.done.forEach(({ jobId, task }) => this.entry.reportDone(jobId as JobId, task as TaskId));
     batch.ended.forEach((ended) => this.entry.endJob(ended.id as JobId, decodeOutcome(ended)));
     batch.cancelAnswers.forEach(({ id, isKnown }) => this.entry.answerCancel(id as JobId, isKnown));
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -1,7 +1,6 @@
 /* eslint-disable no-await-in-loop -- one message after the other */
 import { create } from '@bufbuild/protobuf';
 import type { ServiceImpl } from '@connectrpc/connect';
-import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
@@ -32,9 +31,8 @@
   async *openLink(requests: AsyncIterable<EntryBatch>): AsyncGenerator<LeaderBatch> {
     const iterator = requests[Symbol.asyncIterator]();
     const first = await iterator.next();
-    const hello = first.done === true ? undefined : first.value.hello;
-    const name = (hello?.instance ?? '') as InstanceName;
-    const entry = new RemoteEntry((hello?.domain ?? '') as DomainName, this.clock);
+    const name = (first.done === true ? '' : (first.value.hello?.instance ?? '')) as InstanceName;
+    const entry = new RemoteEntry(this.clock);
     const scope = name === '' ? undefined : this.host.openEntry(name, entry);
     yield create(LeaderBatchSchema, {
       hello: { isLeader: scope !== undefined, isDomainOnly: scope === 'domain' },
@@ -74,7 +72,6 @@
   }
 
   private handleBatch(batch: EntryBatch, name: InstanceName, entry: RemoteEntry): void {
-    batch.answers.forEach((answer) => entry.recordAnswer(answer));
     batch.jobs.forEach((job) => this.host.submitJob(decodeJob(job, name)));
     batch.cancels.forEach(({ id, callerLeft }) => {
       const isKnown = this.host.cancelJob(id as JobId);
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -5,8 +5,6 @@
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
-import { CarriedServer } from '../carriers/carried-server';
-import { CarrierDirectory } from '../carriers/carrier-directory';
 import type { EntryPort } from '../links/entry-port';
 import type { FleetListener } from '../store/fleet-listener';
 import type { PoolOptions } from './pool-options';
@@ -37,8 +35,6 @@
 
   private readonly lostEntries = new Map<InstanceName, number>();
 
-  private readonly carriers = new CarrierDirectory();
-
   private isTurnDue = false;
 
   private isClosed = false;
@@ -88,11 +84,7 @@
 
   /** Connects an entry instance. */
   addEntry(name: InstanceName, port: EntryPort): void {
-    this.dropCarrier(this.entries.get(name));
     this.entries.set(name, port);
-    if (port.carrier !== undefined) {
-      this.carriers.addCarrier(port.carrier);
-    }
     this.lostEntries.delete(name);
     this.engine.markSilence(name, false);
   }
@@ -101,7 +93,6 @@
   dropEntry(name: InstanceName, port: EntryPort): void {
     if (this.entries.get(name) === port) {
       this.entries.delete(name);
-      this.dropCarrier(port);
       this.lostEntries.set(name, this.options.clock.now());
       this.engine.markSilence(name, true);
     }
@@ -155,7 +146,7 @@
     const { clock, log, metrics, maxLeaseMs, stopTimeoutMs } = this.options;
     const session = new ServerSession(
       server,
-      new CarriedServer(report, this.carriers, () => this.options.openServer(report), clock),
+      this.options.openServer(report),
       this.engine,
       {
         maxLeaseMs,
@@ -185,12 +176,6 @@
     this.engine.fleet.dropServer(id);
   }
 
-  private dropCarrier(port: EntryPort | undefined): void {
-    if (port?.carrier !== undefined) {
-      this.carriers.dropCarrier(port.carrier);
-    }
-  }
-
   private handleUnknownRun(): void {
     if (this.options.domain === undefined) {
       // The instance that waits for the job may be about to hand it in.
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -21,7 +21,6 @@
 import type { PoolMetrics } from '../pool/pool-metrics';
 import { HttpServer } from '../http/http-server';
 import { InMemoryServer } from './in-memory-server';
-import { RehearsalCarrier } from './rehearsal-carrier';
 
 /** How often each path is run. */
 interface WarmUpEffort {
@@ -78,7 +77,6 @@
     onFenced() {},
   });
   const entry: EntryPort = {
-    carrier: new RehearsalCarrier(),
     endJob: (id) => waiting.get(id)?.(),
     reportDone() {},
     answerCancel() {},
