Answer abandoned jobs at once; learn the longest run of a step

And the objective was measured by a mean run, although the users measure it by the longest run of a job: wide jobs were refused while they were still of use.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -86,7 +86,6 @@
     }
     const job = known ?? this.addJob(spec);
     return new Promise((resolve) => {
-      const { clock } = this.options;
       let timers: NodeJS.Timeout[] = [];
       const settle = (outcome: JobOutcome): void => {
         timers.forEach((timer) => clearTimeout(timer));
@@ -105,10 +104,6 @@
       );
       void left.then(() => {
         if (job.waiters.has(settle)) {
-          this.options.log.info(
-            { job: spec.id, ageMs: Math.round(clock.now() - job.arrivedAtMs) },
-            'caller left',
-          );
           this.giveUp(job, settle, 'caller left');
         }
       });
@@ -218,6 +213,10 @@
       this.leader?.cancelJob(job.spec.id, true);
       const ageMs = Math.round(this.options.clock.now() - job.arrivedAtMs);
       this.options.metrics.recordJob(job.spec.queue.name, reason, ageMs);
+      this.options.log.info(
+        { job: job.spec.id, queue: job.spec.queue.name, reason, wasSent: job.wasSent, ageMs },
+        'job given up',
+      );
     }
   }
 }
--- a/packages/instance/src/links/encode-outcome.ts
+++ b/packages/instance/src/links/encode-outcome.ts
@@ -18,6 +18,7 @@
         case: 'notRun',
         value: { reason: outcome.reason, retryAfterMs: Math.round(outcome.retryAfterMs) },
       };
+    case 'abandoned':
     case 'unknown':
       return { case: 'unknown', value: { reason: outcome.reason } };
     default:
--- a/packages/kernel/src/engine/build-engine-job.ts
+++ b/packages/kernel/src/engine/build-engine-job.ts
@@ -33,6 +33,7 @@
     arrivedAtMs: nowMs - handed.ageMs,
     tasks,
     openByStep,
+    longestByStep: spec.steps.map(() => 0),
     openTasks: openByStep.reduce((sum, count) => sum + count, 0),
     runningTasks: 0,
     runsMayHide: handed.runsMayHide,
--- a/packages/kernel/src/engine/compute-urgency.ts
+++ b/packages/kernel/src/engine/compute-urgency.ts
@@ -35,10 +35,14 @@
     const step = steps[index]!;
     const runMs = book.estimateRunMs(queue.name, index, step.estimatedMs);
     const open = job.openByStep[index]!;
-    let wholeEnd = runMs;
+    const longestMs = Math.max(
+      book.estimateLongestMs(queue.name, index, step.estimatedMs),
+      job.longestByStep[index]!,
+    );
+    let wholeEnd = longestMs;
     let openEnd = open > 0 ? runMs : 0;
     for (const earlier of step.after) {
-      wholeEnd = Math.max(wholeEnd, wholeEnds[earlier]! + runMs);
+      wholeEnd = Math.max(wholeEnd, wholeEnds[earlier]! + longestMs);
       openEnd = Math.max(openEnd, openEnds[earlier]! + (open > 0 ? runMs : 0));
     }
     wholeEnds.push(wholeEnd);
--- a/packages/kernel/src/engine/engine-job.ts
+++ b/packages/kernel/src/engine/engine-job.ts
@@ -12,6 +12,8 @@
   readonly tasks: readonly EngineTask[];
   /** Tasks of each step that are not done. */
   readonly openByStep: number[];
+  /** Longest run of each step so far, in milliseconds. */
+  readonly longestByStep: number[];
   /** Tasks that are not done. */
   openTasks: number;
   /** Tasks with a run in progress. */
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -23,6 +23,8 @@
 const KEEP_OUTCOMES_MS = 10_000;
 /** What a caller is told to wait when a job was refused for want of time. */
 const RETRY_AFTER_MS = 1_000;
+/** Why a job was given up for want of room. */
+const NO_ROOM = 'no room in time';
 /** While all servers are full, waiting jobs are ranked and refused this often, in milliseconds. */
 const REFUSAL_PAUSE_MS = 20;
 /** Expected run time of a run that another leader ordered, in milliseconds. */
@@ -265,7 +267,7 @@
       this.nextRefusalMs = nowMs + REFUSAL_PAUSE_MS;
       ranked.forEach(({ job, urgency }) => {
         if (urgency.band === 2 && !job.hasStarted) {
-          this.refuseJob(job, 'no room in time', nowMs);
+          this.refuseJob(job, NO_ROOM, nowMs);
         }
       });
     }
@@ -273,6 +275,14 @@
     this.scheduler.placeTasks(open, nowMs, ({ job, task, server }) =>
       this.startRun(job, task, server, nowMs),
     );
+    if (isRefusalDue) {
+      open.forEach(({ job, urgency }) => {
+        if (urgency.band === 2 && job.runningTasks === 0) {
+          // No server has room for the rest of it either.
+          this.endJob(job, { kind: 'abandoned', reason: NO_ROOM }, nowMs);
+        }
+      });
+    }
   }
 
   /** Jobs of a queue of which nothing has started. */
@@ -327,6 +337,7 @@
           durationMs / this.book.estimateRunMs(name, task.step, step.estimatedMs),
         );
         this.book.recordRun(name, task.step, durationMs);
+        job.longestByStep[task.step] = Math.max(job.longestByStep[task.step]!, durationMs);
         this.completeTask(job, task, run.run, nowMs);
         return;
       }
@@ -351,6 +362,10 @@
     task.state = 'done';
     job.openByStep[task.step]! -= 1;
     job.openTasks -= 1;
+    const longestMs = job.longestByStep[task.step]!;
+    if (job.openByStep[task.step] === 0 && longestMs > 0) {
+      this.book.recordLongest(job.spec.queue.name, task.step, longestMs);
+    }
     if (job.openTasks === 0) {
       this.endJob(job, { kind: 'completed' }, nowMs);
     } else if (job.owner !== undefined) {
--- a/packages/kernel/src/engine/job-outcome.ts
+++ b/packages/kernel/src/engine/job-outcome.ts
@@ -8,5 +8,7 @@
   | { readonly kind: 'cancelled' }
   /** Nothing was started and nothing will be. */
   | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  /** Something has run, and the rest was given up since it could not end in useful time. */
+  | { readonly kind: 'abandoned'; readonly reason: string }
   /** Something may have run, and the end is not known. */
   | { readonly kind: 'unknown'; readonly reason: string };
--- /dev/null
+++ b/packages/kernel/tests/abandoned-jobs.test.ts
@@ -0,0 +1,114 @@
+import { JobEngine } from '../src/engine/job-engine';
+import type { EngineEffect } from '../src/engine/engine-effect';
+import type { HandedJob } from '../src/engine/handed-job';
+import type { DomainName } from '../src/ids/domain-name';
+import type { InstanceName } from '../src/ids/instance-name';
+import type { JobId } from '../src/ids/job-id';
+import type { QueueName } from '../src/ids/queue-name';
+import type { ServerId } from '../src/ids/server-id';
+import type { ServiceName } from '../src/ids/service-name';
+
+const SERVER = 'server-1' as ServerId;
+const SERVICE = 'service' as ServiceName;
+
+/** Builds an engine with one server that holds two tasks at a time. */
+function buildEngine(): JobEngine {
+  const engine = new JobEngine();
+  engine.fleet.adoptReport({
+    id: SERVER,
+    service: SERVICE,
+    domain: 'domain-1' as DomainName,
+    address: '127.0.0.1:1',
+    bornMs: 1,
+    capacity: { cpuMilli: 64_000, memoryMb: 262_144, gpus: 0 },
+    labels: [],
+    isDraining: false,
+  }).state = 'usable';
+  return engine;
+}
+
+/** Builds a job of tasks of 100 ms each, due within 220 ms and of no use after 660 ms. */
+function buildJob(number: number, taskCount = 1): HandedJob {
+  return {
+    owner: 'entry-1' as InstanceName,
+    ageMs: 0,
+    doneTasks: new Set(),
+    isResumed: false,
+    runsMayLiveMs: 0,
+    runsMayHide: false,
+    spec: {
+      id: number.toString(16).padStart(16, '0') as JobId,
+      specification: '',
+      queue: {
+        name: 'queue' as QueueName,
+        service: SERVICE,
+        priority: 0,
+        maxAttempts: 2,
+        stretch: 1.6,
+        targetMs: 60,
+      },
+      steps: [
+        {
+          taskCount,
+          demand: { cpuMilli: 30_000, memoryMb: 64, gpus: 0 },
+          estimatedMs: 100,
+          after: [],
+          requiredLabel: undefined,
+          preferredRack: undefined,
+          maxPerServer: undefined,
+        },
+      ],
+    },
+  };
+}
+
+/** Hands jobs in at the same time and returns what the first turn orders. */
+function submitAll(engine: JobEngine, jobs: readonly HandedJob[], nowMs: number): EngineEffect[] {
+  jobs.forEach((job) => engine.submitJob(job, nowMs));
+  engine.schedule(nowMs);
+  return engine.takeEffects();
+}
+
+/** The outcomes among the effects. */
+function listOutcomes(effects: readonly EngineEffect[]) {
+  return effects.flatMap((effect) => (effect.kind === 'end-job' ? [effect.outcome] : []));
+}
+
+describe('a job that has started and cannot end in useful time', () => {
+  const TOO_LATE_MS = 700;
+
+  /** Starts a job of three tasks, ends two of them and fills the server with other work. */
+  function buildHalfDone(): { readonly engine: JobEngine; readonly job: HandedJob } {
+    const engine = buildEngine();
+    const job = buildJob(1, 3);
+    submitAll(engine, [job], 0);
+    const [first, second] = [0, 1].map((index) => `${job.spec.id}.0.0.${index}`);
+    const runs = [...engine.fleet.findServer(SERVER)!.runs.values()];
+    expect(runs.map(({ task }) => task)).toEqual([first, second]);
+    engine.fleet.findServer(SERVER)!.state = 'unconfirmed';
+    runs.forEach(({ task, run }) => engine.endRun(SERVER, task, run, 'done', 100));
+    engine.schedule(TOO_LATE_MS);
+    return { engine, job };
+  }
+
+  it('is answered at once as abandoned', () => {
+    const { engine } = buildHalfDone();
+    expect(listOutcomes(engine.takeEffects())).toEqual([
+      { kind: 'abandoned', reason: 'no room in time' },
+    ]);
+    expect(engine.openJobs).toBe(0);
+  });
+
+  it('does not run again when its caller sends it once more', () => {
+    const { engine, job } = buildHalfDone();
+    engine.takeEffects();
+    engine.fleet.findServer(SERVER)!.state = 'usable';
+    const effects = submitAll(engine, [job], TOO_LATE_MS + 1_300);
+    expect(effects).toEqual([
+      expect.objectContaining({
+        kind: 'end-job',
+        outcome: { kind: 'abandoned', reason: 'no room in time' },
+      }),
+    ]);
+  });
+});
