Fault soak: real instances under signals, proxies and lost answers

A run draws load and faults from its seed: processes paused, killed and shut down, the paths to the store and to servers silenced, delayed, cut one way or refused, answers of the store and of starts lost, in series and overlapping. It checks from what callers and servers see that no task runs twice at the same time, no server holds more than its room, nothing of a refused job starts, completed answers are whole, and that jobs are served again afterwards. Loss of links between instances comes from signals only. Checks have tests that fail for each broken promise.

--- a/packages/load/src/deployment/deployed-process.ts
+++ b/packages/load/src/deployment/deployed-process.ts
@@ -10,10 +10,12 @@
   /**
    * @param script - the binary's JavaScript file
    * @param settings - its settings file
+   * @param output - where its standard output goes: a file descriptor; nowhere by default
    */
   constructor(
     private readonly script: string,
     private readonly settings: string,
+    private readonly output: number | 'ignore' = 'ignore',
   ) {
     this.child = this.spawnChild();
   }
@@ -28,6 +30,11 @@
     return this.child.exitCode;
   }
 
+  /** Tells whether the process has ended, by itself or by a signal. */
+  get hasEnded(): boolean {
+    return this.child.exitCode !== null || this.child.signalCode !== null;
+  }
+
   /** What the process wrote to standard error. */
   get errors(): string {
     return this.stderr;
@@ -40,7 +47,7 @@
 
   /** Waits until the process has ended; returns its exit code. */
   async waitForExit(): Promise<number | null> {
-    if (this.child.exitCode === null && this.child.signalCode === null) {
+    if (!this.hasEnded) {
       await once(this.child, 'exit');
     }
     return this.child.exitCode;
@@ -59,9 +66,9 @@
 
   private spawnChild(): ChildProcess {
     const child = spawn(process.execPath, [this.script, '--settings', this.settings], {
-      stdio: ['ignore', 'ignore', 'pipe'],
+      stdio: ['ignore', this.output, 'pipe'],
     });
-    child.stderr.on('data', (chunk: Buffer) => {
+    child.stderr!.on('data', (chunk: Buffer) => {
       this.stderr += chunk.toString('utf8');
     });
     return child;
--- /dev/null
+++ b/packages/soak/src/checks/promise-book.ts
@@ -0,0 +1,98 @@
+import type { WorkerObserver } from '@guavaspindle/platform-adapter/stand-ins/worker-observer';
+import type { TryOutcome } from './try-outcome';
+
+interface SoakJob {
+  readonly taskCount: number;
+  readonly tries: TryOutcome[];
+  readonly done: Set<string>;
+}
+
+/** The job's id in a task's. */
+function findJobId(task: string): string {
+  return task.slice(0, task.indexOf('.'));
+}
+
+/** Takes in what callers and backend servers see, and notes each promise that is broken. */
+export class PromiseBook {
+  readonly broken: string[] = [];
+
+  private readonly jobs = new Map<string, SoakJob>();
+
+  /** Servers on which a task runs now. */
+  private readonly running = new Map<string, Set<number>>();
+
+  /** Tasks that run on a server now. */
+  private readonly busy = new Map<number, Set<string>>();
+
+  private startCount = 0;
+
+  /** @param room - tasks that a server holds at the same time */
+  constructor(private readonly room: number) {}
+
+  /** Starts of tasks so far. */
+  get starts(): number {
+    return this.startCount;
+  }
+
+  /** Observes one backend server. */
+  observeServer(server: number): WorkerObserver {
+    return {
+      recordStart: (task) => this.recordStart(server, task),
+      recordEnd: (task, how) => this.recordEnd(server, task, how),
+    };
+  }
+
+  /** Notes that a job is handed in for the first time. */
+  addJob(id: string, taskCount: number): void {
+    this.jobs.set(id, { taskCount, tries: [], done: new Set() });
+  }
+
+  /** Notes a try; returns a function that settles it. */
+  openTry(id: string): (outcome: TryOutcome) => void {
+    const { tries } = this.jobs.get(id)!;
+    const index = tries.push('open') - 1;
+    return (outcome) => {
+      tries[index] = outcome;
+      if (outcome === 'completed') {
+        this.checkWhole(id);
+      }
+    };
+  }
+
+  private recordStart(server: number, task: string): void {
+    this.startCount += 1;
+    const places = this.running.get(task) ?? new Set();
+    this.running.set(task, places.add(server));
+    if (places.size > 1) {
+      this.broken.push(`${task} runs on servers ${[...places].join(' and ')} at the same time`);
+    }
+    const tasks = this.busy.get(server) ?? new Set();
+    this.busy.set(server, tasks.add(task));
+    if (tasks.size > this.room) {
+      this.broken.push(`server ${server} runs ${tasks.size} tasks and has room for ${this.room}`);
+    }
+    const job = this.jobs.get(findJobId(task));
+    if (job === undefined) {
+      this.broken.push(`${task} starts, and nobody has sent its job`);
+    } else if (job.tries.length > 0 && job.tries.every((outcome) => outcome === 'refused')) {
+      this.broken.push(`${task} starts, and all tries of its job were refused`);
+    }
+  }
+
+  private recordEnd(server: number, task: string, how: string): void {
+    this.running.get(task)?.delete(server);
+    this.busy.get(server)?.delete(task);
+    if (how === 'done') {
+      this.jobs.get(findJobId(task))?.done.add(task);
+    }
+  }
+
+  private checkWhole(id: string): void {
+    const { done, taskCount } = this.jobs.get(id)!;
+    if (done.size < taskCount) {
+      this.broken.push(
+        `${id} is answered as completed with ${done.size} of ${taskCount} tasks done`,
+      );
+    }
+  }
+}
--- /dev/null
+++ b/packages/soak/src/checks/soak-report.ts
@@ -0,0 +1,15 @@
+/** What came of a soak run. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly faults: number;
+  readonly sent: number;
+  readonly served: number;
+  readonly starts: number;
+  /** Jobs sent and served once the faults were over. */
+  readonly calmSent: number;
+  readonly calmServed: number;
+  /** Each promise that was broken, in words. */
+  readonly broken: readonly string[];
+  /** Where the instances' log lines are. */
+  readonly folder: string;
+}
--- /dev/null
+++ b/packages/soak/src/plan/soak-fault.ts
@@ -0,0 +1,18 @@
+import type { ProxyMode } from './proxy-mode';
+
+/** A fault that is injected from outside. */
+export type SoakFault =
+  /** The process stands still, then goes on. */
+  | { readonly kind: 'pause'; readonly instance: number }
+  /** The process is killed and starts again when the fault ends. */
+  | { readonly kind: 'kill'; readonly instance: number }
+  /** The process is asked to shut down and starts again when it has. */
+  | { readonly kind: 'shutdown'; readonly instance: number }
+  /** The path of one instance to the store. */
+  | { readonly kind: 'store-path'; readonly instance: number; readonly mode: ProxyMode }
+  /** The path of all instances to one backend server. */
+  | { readonly kind: 'server-path'; readonly server: number; readonly mode: ProxyMode }
+  /** The store carries writes out and does not answer them. */
+  | { readonly kind: 'store-answers' }
+  /** The server carries out a few starts and does not answer them. */
+  | { readonly kind: 'start-answers'; readonly server: number };
--- /dev/null
+++ b/packages/soak/src/plan/soak-options.ts
@@ -0,0 +1,10 @@
+/** The size of a soak run. */
+export interface SoakOptions {
+  /** Draws the load and the faults. */
+  readonly seed: number;
+  /** How long faults strike, in milliseconds; the calm after them comes on top. */
+  readonly faultsMs: number;
+  readonly instances: number;
+  readonly servers: number;
+  readonly jobsPerSecond: number;
+}
--- /dev/null
+++ b/packages/soak/src/run-soak.ts
@@ -0,0 +1,55 @@
+import { PromiseBook } from './checks/promise-book';
+import { SoakCallers } from './checks/soak-callers';
+import type { SoakReport } from './checks/soak-report';
+import { pause } from './pause';
+import { pickFaults } from './plan/pick-faults';
+import type { SoakOptions } from './plan/soak-options';
+import { SoakSite } from './site/soak-site';
+
+/** Tasks of 27 cores that a server of 64 cores holds. */
+const ROOM = 2;
+/** The instances have so long to come up before the load begins. */
+const START_MS = 3_000;
+/** After the last fault the system has so long to recover; the platform's rules allow 12 s. */
+const RECOVERY_MS = 6_000;
+/** How long the calm load is measured. */
+const CALM_MS = 3_000;
+/** Jobs of the calm load that have to be served; the rest may meet what the faults left behind. */
+const CALM_SHARE = 0.9;
+
+/** Plays one seed and tells what was seen. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+  const book = new PromiseBook(ROOM);
+  const site = new SoakSite(options, book);
+  await site.open();
+  await pause(START_MS);
+  const callers = new SoakCallers(options.seed, site.callerAddresses, book);
+  const faults = pickFaults(options);
+  const timers = faults.map((planned) => setTimeout(() => site.applyFault(planned), planned.atMs));
+  try {
+    await callers.sendJobs(options.jobsPerSecond, options.faultsMs + RECOVERY_MS);
+    const disturbed = callers.sentCount;
+    await callers.sendJobs(options.jobsPerSecond, CALM_MS);
+    await callers.close();
+    const calmSent = callers.sentCount - disturbed;
+    const calmServed = callers.countServed(disturbed);
+    const broken = [...book.broken];
+    if (calmServed < CALM_SHARE * calmSent) {
+      broken.push(`only ${calmServed} of ${calmSent} jobs are served after the faults`);
+    }
+    return {
+      seed: options.seed,
+      faults: faults.length,
+      sent: callers.sentCount,
+      served: callers.countServed(),
+      starts: book.starts,
+      calmSent,
+      calmServed,
+      broken,
+      folder: site.folder,
+    };
+  } finally {
+    timers.forEach((timer) => clearTimeout(timer));
+    await site.close();
+  }
+}
--- /dev/null
+++ b/packages/soak/src/site/soak-site.ts
@@ -0,0 +1,186 @@
+import { mkdtempSync, openSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { DeployedProcess } from '@guavaspindle/load/deployment/deployed-process';
+import { buildConfigurationText } from '@guavaspindle/platform-adapter/stand-ins/build-configuration-text';
+import { buildServerEntry } from '@guavaspindle/platform-adapter/stand-ins/build-server-entry';
+import { buildSettingsText } from '@guavaspindle/platform-adapter/stand-ins/build-settings-text';
+import { StoreStandIn } from '@guavaspindle/platform-adapter/stand-ins/store-stand-in';
+import { WorkerStandIn } from '@guavaspindle/platform-adapter/stand-ins/worker-stand-in';
+import type { PromiseBook } from '../checks/promise-book';
+import type { PlannedFault } from '../plan/planned-fault';
+import type { ProxyMode } from '../plan/proxy-mode';
+import type { SoakOptions } from '../plan/soak-options';
+import { FaultProxy } from './fault-proxy';
+
+/** The built binary; the folder is the same from `src` and from `dist`. */
+const INSTANCE = resolve(__dirname, '../../../instance/dist/bin/instance.js');
+const DOMAINS = ['oviedo', 'santander', 'gijon'];
+const CALLERS_PORT = 7_301;
+const READINESS_PORT = 7_302;
+const PEER_PORT = 7_303;
+/** Starts whose answers a server loses in one fault. */
+const LOST_STARTS = 4;
+
+/** Splits host:port. */
+function splitAddress(address: string): { readonly host: string; readonly port: number } {
+  const [host, port] = address.split(':');
+  return { host: host!, port: Number(port) };
+}
+
+/** Opens a proxy in front of an address; returns the proxy and its own address. */
+async function openProxy(
+  address: string,
+): Promise<{ readonly proxy: FaultProxy; readonly proxied: string }> {
+  const { host, port } = splitAddress(address);
+  const proxy = new FaultProxy(host, port);
+  return { proxy, proxied: await proxy.listen() };
+}
+
+/** Disturbs a path; returns what takes it back. */
+function changePath(proxy: FaultProxy, mode: ProxyMode): () => void {
+  proxy.setMode(mode);
+  return () => proxy.setMode('pass');
+}
+
+/** Stand-ins, proxies and instances of one soak run. */
+export class SoakSite {
+  /** Where callers reach the instances. */
+  readonly callerAddresses: readonly string[];
+
+  /** Log lines of the instances, and their settings. */
+  readonly folder = mkdtempSync(join(tmpdir(), 'guavaspindle-soak-'));
+
+  private readonly store = new StoreStandIn();
+
+  private readonly servers: WorkerStandIn[] = [];
+
+  private readonly serverPaths: FaultProxy[] = [];
+
+  private readonly storePaths: FaultProxy[] = [];
+
+  private readonly instances: DeployedProcess[] = [];
+
+  private isClosing = false;
+
+  constructor(
+    private readonly options: SoakOptions,
+    private readonly book: PromiseBook,
+  ) {
+    this.callerAddresses = Array.from(
+      { length: options.instances },
+      (_unused, index) => `${this.findIp(index)}:${CALLERS_PORT}`,
+    );
+  }
+
+  /** Starts everything. */
+  async open(): Promise<void> {
+    const storeAddress = await this.store.listen();
+    this.store.writeText('op/config', buildConfigurationText(1));
+    for (let index = 0; index < this.options.servers; index += 1) {
+      const server = new WorkerStandIn(this.book.observeServer(index));
+      // eslint-disable-next-line no-await-in-loop -- one port after the other
+      const { proxy, proxied } = await openProxy(await server.listen());
+      this.servers.push(server);
+      this.serverPaths.push(proxy);
+      const zone = DOMAINS[index % DOMAINS.length];
+      this.store.writeText(`servers/i-${index}`, buildServerEntry(proxied, { zone }));
+    }
+    for (let index = 0; index < this.options.instances; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one port after the other
+      const { proxy, proxied } = await openProxy(storeAddress);
+      this.storePaths.push(proxy);
+      this.instances.push(this.startInstance(index, proxied));
+    }
+  }
+
+  /** Injects a fault and takes it back when its time is over. */
+  applyFault({ fault, forMs }: PlannedFault): void {
+    const undo = this.beginFault(fault);
+    setTimeout(() => {
+      if (!this.isClosing) {
+        undo();
+      }
+    }, forMs);
+  }
+
+  /** Ends all processes that this site has started, and the stand-ins. */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    await Promise.all(this.instances.map((instance) => instance.kill()));
+    [...this.storePaths, ...this.serverPaths].forEach((proxy) => proxy.close());
+    this.servers.forEach((server) => server.close());
+    this.store.close();
+  }
+
+  /** Returns what takes the fault back. */
+  private beginFault(fault: PlannedFault['fault']): () => void {
+    switch (fault.kind) {
+      case 'pause': {
+        const instance = this.instances[fault.instance]!;
+        instance.sendSignal('SIGSTOP');
+        return () => instance.sendSignal('SIGCONT');
+      }
+      case 'kill': {
+        const instance = this.instances[fault.instance]!;
+        const ended = instance.kill();
+        return () => {
+          void ended.then(() => this.restartInstance(instance));
+        };
+      }
+      case 'shutdown': {
+        const instance = this.instances[fault.instance]!;
+        instance.sendSignal('SIGTERM');
+        return () => {
+          void instance.waitForExit().then(() => this.restartInstance(instance));
+        };
+      }
+      case 'store-path':
+        return changePath(this.storePaths[fault.instance]!, fault.mode);
+      case 'server-path':
+        return changePath(this.serverPaths[fault.server]!, fault.mode);
+      case 'store-answers':
+        this.store.faults.losesAnswers = true;
+        return () => {
+          this.store.faults.losesAnswers = false;
+        };
+      case 'start-answers':
+        this.servers[fault.server]!.faults.lostStartAnswers += LOST_STARTS;
+        return () => {
+          this.servers[fault.server]!.faults.lostStartAnswers = 0;
+        };
+      default:
+        return fault satisfies never;
+    }
+  }
+
+  /** Starts an instance again, unless an overlapping fault has done so. */
+  private restartInstance(instance: DeployedProcess): void {
+    if (!this.isClosing && instance.hasEnded) {
+      instance.restart();
+    }
+  }
+
+  private startInstance(index: number, storeAddress: string): DeployedProcess {
+    const name = `soak-${index}`;
+    const settings = join(this.folder, `${name}.toml`);
+    writeFileSync(
+      settings,
+      buildSettingsText({
+        name,
+        domain: DOMAINS[index % DOMAINS.length]!,
+        ip: this.findIp(index),
+        storeAddress,
+        callersPort: CALLERS_PORT,
+        readinessPort: READINESS_PORT,
+        peerPort: PEER_PORT,
+      }),
+    );
+    return new DeployedProcess(INSTANCE, settings, openSync(join(this.folder, `${name}.log`), 'a'));
+  }
+
+  /** Loopback addresses that differ between seeds, so that runs side by side do not meet. */
+  private findIp(index: number): string {
+    return `127.0.${100 + (this.options.seed % 100)}.${index + 1}`;
+  }
+}
--- /dev/null
+++ b/packages/soak/tests/promise-book.test.ts
@@ -0,0 +1,60 @@
+import { PromiseBook } from '../src/checks/promise-book';
+
+const JOB = '0000000000000001';
+const TASK = `${JOB}.0.0.0`;
+
+/** Builds a book with one job of one task that has been sent once. */
+function buildBook() {
+  const book = new PromiseBook(2);
+  book.addJob(JOB, 1);
+  const settle = book.openTry(JOB);
+  return { book, settle, servers: [0, 1].map((server) => book.observeServer(server)) };
+}
+
+describe('the checks of a soak run', () => {
+  it('accept a job that runs once and completes', () => {
+    const { book, settle, servers } = buildBook();
+    servers[0]!.recordStart(TASK);
+    servers[0]!.recordEnd(TASK, 'done');
+    settle('completed');
+    expect(book.broken).toEqual([]);
+  });
+
+  it('accept a second start after the first run is over', () => {
+    const { book, servers } = buildBook();
+    servers[0]!.recordStart(TASK);
+    servers[0]!.recordEnd(TASK, 'lapsed');
+    servers[1]!.recordStart(TASK);
+    expect(book.broken).toEqual([]);
+  });
+
+  it('notice two runs at the same time', () => {
+    const { book, servers } = buildBook();
+    servers.forEach((server) => server.recordStart(TASK));
+    expect(book.broken).toEqual([`${TASK} runs on servers 0 and 1 at the same time`]);
+  });
+
+  it('notice a server over its room', () => {
+    const { book, servers } = buildBook();
+    book.addJob('0000000000000002', 3);
+    [0, 1, 2].forEach((index) => servers[0]!.recordStart(`0000000000000002.0.0.${index}`));
+    expect(book.broken).toEqual(['server 0 runs 3 tasks and has room for 2']);
+  });
+
+  it('notice a start of a refused job, and of one that nobody sent', () => {
+    const { book, settle, servers } = buildBook();
+    settle('refused');
+    servers[0]!.recordStart(TASK);
+    servers[0]!.recordStart('00000000000000ff.0.0.0');
+    expect(book.broken).toEqual([
+      `${TASK} starts, and all tries of its job were refused`,
+      '00000000000000ff.0.0.0 starts, and nobody has sent its job',
+    ]);
+  });
+
+  it('notice an answer that is not whole', () => {
+    const { book, settle } = buildBook();
+    settle('completed');
+    expect(book.broken).toEqual([`${JOB} is answered as completed with 0 of 1 tasks done`]);
+  });
+});
