A caller's departure touches only the instance that still owns its job

Also a job sent again after a departure was answered as cancelled instead of run. Change: a departure is no cancellation; it drops the job only while that instance owns it, and whoever sends it again starts it anew after its runs are over. Tests: pool-leader.test.ts, two in "a caller that leaves one instance ...".

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -117,7 +117,7 @@
     const { leader } = this;
     const answer = new Promise<boolean>((resolve) => {
       this.cancels.set(id, resolve);
-      leader.cancelJob(id, false);
+      leader.cancelJob(id);
     });
     const timeout = this.options.clock.pause(CANCEL_WAIT_MS).then(() => this.jobs.has(id));
     const isKnown = await Promise.race([answer, timeout]);
@@ -210,7 +210,7 @@
         : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS },
     );
     if (job.waiters.size === 0 && this.jobs.delete(job.spec.id)) {
-      this.leader?.cancelJob(job.spec.id, true);
+      this.leader?.dropCaller(job.spec.id);
       const ageMs = Math.round(this.options.clock.now() - job.arrivedAtMs);
       this.options.metrics.recordJob(job.spec.queue.name, reason, ageMs);
       this.options.log.info(
--- a/packages/instance/src/lead/lead-keeper.ts
+++ b/packages/instance/src/lead/lead-keeper.ts
@@ -135,6 +135,10 @@
     return this.pool?.cancelJob(id) ?? false;
   }
 
+  dropCaller(id: JobId, owner: InstanceName): void {
+    this.pool?.dropCaller(id, owner);
+  }
+
   getView(): InstanceView {
     const { clock, self } = this.options;
     const isHeard =
@@ -347,12 +351,8 @@
     entry.setLeader({
       isDomainOnly: scope === 'domain',
       submitJob: (handed) => pool.submitJob({ ...handed, owner: self.name }),
-      cancelJob: (id, callerLeft) => {
-        const isKnown = pool.cancelJob(id);
-        if (!callerLeft) {
-          entry.answerCancel(id, isKnown);
-        }
-      },
+      cancelJob: (id) => entry.answerCancel(id, pool.cancelJob(id)),
+      dropCaller: (id) => pool.dropCaller(id, self.name),
     });
   }
 
--- a/packages/instance/src/links/lead-host.ts
+++ b/packages/instance/src/links/lead-host.ts
@@ -11,5 +11,7 @@
   closeEntry(name: InstanceName, port: EntryPort): void;
   submitJob(handed: HandedJob): void;
   cancelJob(id: JobId): boolean;
+  /** The caller of a job has left the instance. */
+  dropCaller(id: JobId, owner: InstanceName): void;
   getView(): InstanceView;
 }
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -92,9 +92,13 @@
     this.batches.addToBatch((batch) => batch.jobs.push(encodeJob(handed)));
   }
 
-  cancelJob(id: JobId, callerLeft: boolean): void {
+  cancelJob(id: JobId): void {
+    this.batches.addToBatch((batch) => batch.cancels.push(create(JobCancelSchema, { id })));
+  }
+
+  dropCaller(id: JobId): void {
     this.batches.addToBatch((batch) =>
-      batch.cancels.push(create(JobCancelSchema, { id, callerLeft })),
+      batch.cancels.push(create(JobCancelSchema, { id, callerLeft: true })),
     );
   }
 
--- a/packages/instance/src/links/leader-port.ts
+++ b/packages/instance/src/links/leader-port.ts
@@ -6,6 +6,8 @@
   /** It leads only its own failure domain, which is cut off. */
   readonly isDomainOnly: boolean;
   submitJob(handed: Omit<HandedJob, 'owner'>): void;
-  /** @param callerLeft - nobody waits for an answer */
-  cancelJob(id: JobId, callerLeft: boolean): void;
+  /** Cancels a job, as its caller asks; the entry hears the answer. */
+  cancelJob(id: JobId): void;
+  /** Nobody waits for the job at this instance any more. */
+  dropCaller(id: JobId): void;
 }
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -74,9 +74,10 @@
   private handleBatch(batch: EntryBatch, name: InstanceName, entry: RemoteEntry): void {
     batch.jobs.forEach((job) => this.host.submitJob(decodeJob(job, name)));
     batch.cancels.forEach(({ id, callerLeft }) => {
-      const isKnown = this.host.cancelJob(id as JobId);
-      if (!callerLeft) {
-        entry.answerCancel(id as JobId, isKnown);
+      if (callerLeft) {
+        this.host.dropCaller(id as JobId, name);
+      } else {
+        entry.answerCancel(id as JobId, this.host.cancelJob(id as JobId));
       }
     });
   }
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -115,6 +115,12 @@
     return isKnown;
   }
 
+  /** Notes that the caller of a job has left the instance. */
+  dropCaller(id: JobId, owner: InstanceName): void {
+    this.engine.dropCaller(id, owner, this.options.clock.now());
+    this.requestTurn();
+  }
+
   /** Goes on with a higher fencing token, after another instance has used one. */
   adoptToken(token: number): void {
     this.token = token;
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -6,6 +6,7 @@
 import { buildPool } from './fixtures/build-pool';
 import { buildServerReport } from './fixtures/build-server-report';
 import { FakeServer } from './fixtures/fake-server';
+import { RecordingEntry } from './fixtures/recording-entry';
 
 const RESUMED = { isResumed: true, runsMayLiveMs: 1_900 };
 
@@ -304,6 +305,57 @@
   });
 });
 
+describe('a caller that leaves one instance and sends its job to another', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  const SECOND = 'entry-2' as InstanceName;
+
+  it('keeps its job when the first instance notices the departure afterwards', async () => {
+    const server = new FakeServer();
+    const { pool, entry } = buildPool([server]);
+    const second = new RecordingEntry();
+    pool.addEntry(SECOND, second);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob();
+    pool.submitJob(job);
+    pool.submitJob({ ...job, owner: SECOND });
+    pool.dropCaller(job.spec.id, job.owner);
+    await jest.advanceTimersByTimeAsync(300);
+    expect(second.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    expect(entry.outcomes.size).toBe(0);
+    expect(server.starts).toHaveLength(1);
+    pool.close();
+  });
+
+  it('has its job run anew when it comes after the departure, once the first run is over', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    servers.forEach((server) => {
+      server.runs = { durationMs: 200, how: 'done' };
+    });
+    const { pool } = buildPool(servers);
+    const second = new RecordingEntry();
+    pool.addEntry(SECOND, second);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildHandedJob();
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(50);
+    pool.dropCaller(job.spec.id, job.owner);
+    pool.submitJob({ ...job, owner: SECOND });
+    for (let elapsedMs = 0; elapsedMs < 600; elapsedMs += 5) {
+      await jest.advanceTimersByTimeAsync(5);
+      expect(countRunning(servers, `${job.spec.id}.0.0.0`)).toBeLessThanOrEqual(1);
+    }
+    expect(second.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+});
+
 describe('copies of a job that was refused', () => {
   beforeEach(() => {
     jest.useFakeTimers();
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -134,15 +134,15 @@
   dropOwner(owner: InstanceName, nowMs: number): void {
     [...this.jobs.values()]
       .filter((job) => job.owner === owner)
-      .forEach((job) => {
-        this.closeJob(job, 'unclaimed');
-        // Whoever sends the job again starts it anew, after these runs are over.
-        this.outcomes.recordOutcome(
-          job.spec.id,
-          { kind: 'unknown', reason: 'the instance that had taken the job was lost' },
-          nowMs,
-        );
-      });
+      .forEach((job) => this.dropJob(job, 'the instance that had taken the job was lost', nowMs));
+  }
+
+  /** Ends a job whose caller has left the instance, unless another instance asks for it by now. */
+  dropCaller(id: JobId, owner: InstanceName, nowMs: number): void {
+    const job = this.jobs.get(id);
+    if (job?.owner === owner) {
+      this.dropJob(job, 'its caller left', nowMs);
+    }
   }
 
   /**
@@ -408,6 +408,12 @@
     this.effects.push({ kind: 'end-job', owner: job.owner, jobId: job.spec.id, outcome });
   }
 
+  /** Ends a job for which nobody waits. Whoever sends it again starts it anew, after its runs are over. */
+  private dropJob(job: EngineJob, reason: string, nowMs: number): void {
+    this.closeJob(job, 'unclaimed');
+    this.outcomes.recordOutcome(job.spec.id, { kind: 'unknown', reason }, nowMs);
+  }
+
   private closeJob(job: EngineJob, reason: StopReason): void {
     this.jobs.delete(job.spec.id);
     job.tasks.forEach((task) => {
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -12,8 +12,9 @@
 const START_MS = 3_000;
 /** After the last fault the system has so long to recover; the platform's rules allow 12 s. */
 const RECOVERY_MS = 6_000;
-/** How long the calm load is measured. */
+/** How long the calm load is measured, and its share of the load under faults: far below the room. */
 const CALM_MS = 3_000;
+const CALM_LOAD = 0.5;
 /** Jobs of the calm load that have to be served; the rest may meet what the faults left behind. */
 const CALM_SHARE = 0.9;
 
@@ -29,7 +30,7 @@
   try {
     await callers.sendJobs(options.jobsPerSecond, options.faultsMs + RECOVERY_MS);
     const disturbed = callers.sentCount;
-    await callers.sendJobs(options.jobsPerSecond, CALM_MS);
+    await callers.sendJobs(CALM_LOAD * options.jobsPerSecond, CALM_MS);
     await callers.close();
     const calmSent = callers.sentCount - disturbed;
     const calmServed = callers.countServed(disturbed);
