--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -4,8 +4,8 @@
 const CASES = [
   { seed: 1, faultsMs: 8_000, instances: 3, cause: 'none: a short run' },
   { seed: 23, faultsMs: 10_000, instances: 4, cause: 'calm load above the room at times' },
-  { seed: 36, faultsMs: 10_000, instances: 4, cause: 'calm load above the room at times' },
-  { seed: 45, faultsMs: 10_000, instances: 4, cause: 'calm load above the room at times' },
+  { seed: 36, faultsMs: 10_000, instances: 4, cause: 'service after faults, not traced' },
+  { seed: 45, faultsMs: 10_000, instances: 4, cause: 'service after faults, not traced' },
 ];
 
 describe('a short soak', () => {
