Leader: load of the pool and of its process, one line and one set of gauges a second

Callers saw too little served on a large fleet; the logs could not tell a leader short of processor from servers that wait for confirmation. A leader now logs 'pool load' once a second and exports the same figures: open jobs, waiting tasks, runs, unconfirmed servers, free capacity, starts ordered, delay of the event loop and share of a core used. No decision depends on them.

--- /dev/null
+++ b/packages/instance/src/pool/leader-load.ts
@@ -0,0 +1,11 @@
+import type { PoolLoad } from '@guavaspindle/kernel/engine/pool-load';
+
+/** The load of a leader's pool and of its process over the last interval. */
+export interface LeaderLoad extends PoolLoad {
+  /** Task starts ordered in the interval. */
+  readonly starts: number;
+  /** Greatest delay of a timer of this process, in milliseconds. */
+  readonly loopLagMs: number;
+  /** Processor time used by this process, as a share of one core. */
+  readonly processorShare: number;
+}
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -7,6 +7,7 @@
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { EntryPort } from '../links/entry-port';
 import type { FleetListener } from '../store/fleet-listener';
+import { ProcessLoadMeter } from '../process/process-load-meter';
 import type { PoolOptions } from './pool-options';
 import { ServerSession } from './server-session';
 
@@ -28,6 +29,8 @@
  * a task or the pause of a server has ended.
  */
 const TICK_INTERVAL_MS = 25;
+/** Interval at which the load of the pool is logged and exported. */
+const LOAD_REPORT_INTERVAL_MS = 1_000;
 
 /**
  * Leads a pool of backend servers: carries out the engine's effects and passes outcomes to the entry
@@ -53,6 +56,12 @@
 
   private readonly ticker: NodeJS.Timeout;
 
+  private readonly meter: ProcessLoadMeter;
+
+  private loadReportedAtMs: number;
+
+  private startsSinceReport = 0;
+
   /**
    * When a run that this leader did not start was last found, in monotonic milliseconds; undefined if
    * no check for unclaimed runs is due.
@@ -62,6 +71,8 @@
   constructor(private readonly options: PoolOptions) {
     this.fencingToken = options.fencingToken;
     this.engine = new JobEngine(options.domain === undefined);
+    this.loadReportedAtMs = options.clock.now();
+    this.meter = new ProcessLoadMeter(TICK_INTERVAL_MS, this.loadReportedAtMs);
     this.ticker = setInterval(() => this.runTick(), TICK_INTERVAL_MS);
   }
 
@@ -150,6 +161,7 @@
   close(): void {
     this.isClosed = true;
     clearInterval(this.ticker);
+    this.options.metrics.recordLoad(undefined);
     this.sessions.forEach((session) => session.close());
     this.sessions.clear();
     this.entries.forEach((port) => port.endLink());
@@ -218,6 +230,11 @@
 
   private runTick(): void {
     const nowMs = this.options.clock.now();
+    this.meter.recordTick(nowMs);
+    if (nowMs - this.loadReportedAtMs >= LOAD_REPORT_INTERVAL_MS) {
+      this.loadReportedAtMs = nowMs;
+      this.reportLoad(nowMs);
+    }
     if (
       this.unknownRunFoundAtMs !== undefined &&
       nowMs - this.unknownRunFoundAtMs >= UNCLAIMED_RUN_GRACE_MS
@@ -242,6 +259,17 @@
     this.runSchedulingPass();
   }
 
+  private reportLoad(nowMs: number): void {
+    const load = {
+      ...this.engine.computeLoad(),
+      ...this.meter.takeLoad(nowMs),
+      starts: this.startsSinceReport,
+    };
+    this.startsSinceReport = 0;
+    this.options.metrics.recordLoad(load);
+    this.options.log.info(load, 'pool load');
+  }
+
   /** Closes the session of a deregistered server once no leader can have runs there. */
   private checkDeregisteredServer(id: ServerId, deregisteredForMs: number): void {
     const session = this.sessions.get(id);
@@ -274,6 +302,7 @@
   private applyEffect(effect: EngineEffect): void {
     switch (effect.kind) {
       case 'start-run':
+        this.startsSinceReport += 1;
         void this.sessions
           .get(effect.serverId)
           ?.startRun(effect.task, effect.run, effect.specification);
--- a/packages/instance/src/process/instance-metrics.ts
+++ b/packages/instance/src/process/instance-metrics.ts
@@ -1,4 +1,5 @@
-import { Counter, Histogram, Registry } from 'prom-client';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { LeaderLoad } from '../pool/leader-load';
 import type { PoolMetrics } from '../pool/pool-metrics';
 
 /** Upper bounds of the latency buckets, in seconds. */
@@ -31,6 +32,13 @@
     registers: [this.registry],
   });
 
+  private readonly load = new Gauge({
+    name: 'guavaspindle_pool_load',
+    help: 'Load of the pool that this instance leads and of its process, by figure, over one second.',
+    labelNames: ['figure'],
+    registers: [this.registry],
+  });
+
   recordStart(outcome: string, durationMs: number): void {
     this.starts.observe({ outcome }, durationMs / MS_PER_S);
   }
@@ -43,6 +51,13 @@
     this.jobs.observe({ queue, outcome }, durationMs / MS_PER_S);
   }
 
+  recordLoad(load: LeaderLoad | undefined): void {
+    this.load.reset();
+    Object.entries(load ?? {}).forEach(([figure, value]) => {
+      this.load.set({ figure }, value as number);
+    });
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   async formatText(): Promise<string> {
     return this.registry.metrics();
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -60,7 +60,12 @@
   steps: [{ count: 4, cpu: 1_000, memMb: 64, estimatedMs: 50 }],
 });
 
-const NO_METRICS: PoolMetrics = { recordStart() {}, recordLeaseRenewal() {}, recordJob() {} };
+const NO_METRICS: PoolMetrics = {
+  recordStart() {},
+  recordLeaseRenewal() {},
+  recordLoad() {},
+  recordJob() {},
+};
 
 /** Runs jobs on in-memory servers; each job is encoded and decoded as on a link. */
 async function runJobs(clock: Clock, log: Logger, jobs: number): Promise<void> {
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -15,7 +15,7 @@
   return new EntryJobs({
     clock: systemClock,
     log: createLogger({ name: 'test', level: 'fatal' }),
-    metrics: { recordStart() {}, recordLeaseRenewal() {}, recordJob() {} },
+    metrics: { recordStart() {}, recordLeaseRenewal() {}, recordLoad() {}, recordJob() {} },
     findConfiguration: () => undefined,
     hasRecentStoreFailure: () => hasRecentStoreFailure,
     onLeaderLeaving() {},
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -12,6 +12,7 @@
 import { CompletedTaskCache } from './completed-task-cache';
 import type { EngineSubmission } from './engine-submission';
 import type { JobOutcome } from './job-outcome';
+import type { PoolLoad } from './pool-load';
 import { RecentOutcomes } from './recent-outcomes';
 import type { RunEnd } from './run-end';
 import { RunScheduler } from './run-scheduler';
@@ -312,6 +313,15 @@
       .length;
   }
 
+  /** Counts the work and the servers of the pool. */
+  computeLoad(): PoolLoad {
+    let waitingTasks = 0;
+    this.jobs.forEach((job) => {
+      waitingTasks += job.remainingTasks - job.runningTasks;
+    });
+    return { openJobs: this.jobs.size, waitingTasks, ...this.fleet.computeUse() };
+  }
+
   private startRun(job: EngineJob, task: EngineTask, server: EngineServer, nowMs: number): void {
     const step = job.spec.steps[task.step]!;
     const run: EngineRun = {
--- a/packages/kernel/src/engine/server-fleet.ts
+++ b/packages/kernel/src/engine/server-fleet.ts
@@ -1,6 +1,7 @@
 import type { ServerId } from '../ids/server-id';
 import type { ServiceName } from '../ids/service-name';
 import { EngineServer } from './engine-server';
+import type { PoolLoad } from './pool-load';
 import type { Resources } from './resources';
 import type { ServerReport } from './server-report';
 
@@ -51,6 +52,22 @@
     return (this.byService.get(service) ?? NO_SERVERS).values();
   }
 
+  /** Counts the servers, the runs that they hold and the free CPU capacity of the usable ones. */
+  computeUse(): Omit<PoolLoad, 'openJobs' | 'waitingTasks'> {
+    let heldRuns = 0;
+    let unconfirmedServers = 0;
+    let freeCpuMilli = 0;
+    this.servers.forEach((server) => {
+      heldRuns += server.runs.size;
+      if (server.state === 'unconfirmed') {
+        unconfirmedServers += 1;
+      } else if (!server.report.isDraining) {
+        freeCpuMilli += Math.max(0, server.freeCpuMilli);
+      }
+    });
+    return { servers: this.servers.size, heldRuns, unconfirmedServers, freeCpuMilli };
+  }
+
   /**
    * Returns whether any server of the service, busy or not, has the capacity and the label. Also
    * true while no server of the service is known, since servers may still be discovered.
