--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -3,6 +3,8 @@
 import type Logger from 'bunyan';
 import { Hono } from 'hono';
 import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
+import { PartOffers } from '@guavaspindle/kernel/layout/part-offers';
+import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
 import { systemClock } from '@guavaspindle/kernel/time/system-clock';
 import { buildCallersApp } from '@guavaspindle/platform-adapter/callers/build-callers-app';
 import { ServerClient } from '@guavaspindle/platform-adapter/servers/server-client';
@@ -13,7 +15,9 @@
 import { ControlServer } from '@guavaspindle/runtime/control/control-server';
 import { EntryJobs } from './entry/entry-jobs';
 import { HttpServer } from './http/http-server';
+import { LayoutPlanner } from './lead/layout-planner';
 import { LeaderElection } from './lead/leader-election';
+import { PartElections } from './lead/part-elections';
 import { LinkService } from './links/link-service';
 import { PoolLeader } from './pool/pool-leader';
 import { InstanceMetrics } from './process/instance-metrics';
@@ -42,6 +46,8 @@
  * store answers again.
  */
 const RECENT_STORE_FAILURE_MS = 5_000;
+/** Interval of the check whether the fleet has outgrown its layout. */
+const LAYOUT_CHECK_MS = 500;
 /** Port of the metrics endpoint; `metrics` in the deploy file must name the same port. */
 const METRICS_PORT = 9_464;
 /** A shutdown ends this long before the platform kills the process. */
@@ -67,40 +73,78 @@
     name: settings.name,
     domain: settings.domain,
     incarnation: randomBytes(INCARNATION_BYTES).toString('hex') as IncarnationId,
+    cores: settings.cores,
     address: `${settings.ip}:${settings.peerPort}`,
   };
   const metrics = new InstanceMetrics();
   const store = new StoreClient(settings.storeAddress, STORE_TIMEOUT_MS);
   const configuration = new ConfigurationHolder(log);
   const fleet = new FleetMirror(clock, log);
+  const offers = new PartOffers();
   const entryJobs = new EntryJobs({
     clock,
     log,
     metrics,
+    domain: settings.domain,
     findConfiguration: () => configuration.findConfiguration(),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
     hasRecentStoreFailure: () => registryMirror.hasFailedWithin(RECENT_STORE_FAILURE_MS),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
-    onLeaderLeaving: () => election.recordLeaderLeaving(),
+    onLeaderLeaving: (part) => elections.recordLeaderLeaving(part),
+    onLoad: (part, load) => offers.recordLoad(part, load, clock.now()),
+  });
+  const registry = new InstanceRegistry(self, store, log, () => {
+    /* eslint-disable @typescript-eslint/no-use-before-define -- called after wiring */
+    elections.applyLayout(registry.findLayout());
+    elections.wakeUp();
+    /* eslint-enable @typescript-eslint/no-use-before-define */
   });
-  // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
-  const registry = new InstanceRegistry(self, store, log, () => election.wakeUp());
-  const openPool = (token: number, scope: 'all' | 'domain', onFenced: () => void): PoolLeader => {
+  const openPool = (
+    part: PoolPart,
+    token: number,
+    scope: 'all' | 'domain',
+    onFenced: () => void,
+  ): PoolLeader => {
     const pool = new PoolLeader({
       clock,
       log,
       metrics,
+      part,
       domain: scope === 'domain' ? settings.domain : undefined,
       fencingToken: token,
       maxLeaseMs: settings.maxLeaseMs,
       stopTimeoutMs: settings.stopTimeoutMs,
       openServerClient: ({ id, address }) => new ServerClient(id, address, ORDER_TIMEOUT_MS),
+      offers,
       onFenced,
+      onClosed: (closed) => fleet.dropListener(closed),
     });
-    fleet.setListener(pool);
+    fleet.addListener(pool);
     return pool;
   };
-  const election = new LeaderElection({ self, registry, entry: entryJobs, clock, log, openPool });
+  const elections: PartElections = new PartElections({
+    domain: settings.domain,
+    openElection: (part) =>
+      new LeaderElection({
+        part,
+        self,
+        registry,
+        entry: entryJobs,
+        clock,
+        log,
+        countLedParts: () => elections.countLedParts(),
+        openPool,
+      }),
+    onPartsChanged: (parts) => entryJobs.setParts(parts),
+  });
+  const layoutPlanner = new LayoutPlanner({
+    clock,
+    log,
+    findLayout: () => registry.findLayout(),
+    countServers: () => fleet.countServers(),
+    isWriter: (layout) => elections.isLeadingFirstPart(layout),
+    writeLayout: (layout) => registry.writeLayout(layout),
+  });
   const registryMirror = new PrefixMirror(
     { prefix: InstanceRegistry.prefix, store, clock, log, watchPauseMs: 0 },
     registry,
@@ -119,14 +163,14 @@
 
   let isDraining = false;
   const peerServer = new ControlServer((router) => {
-    router.service(InstanceService, new LinkService(election, clock));
+    router.service(InstanceService, new LinkService(elections, clock));
   }, []);
   await peerServer.listen(self.address);
   const callersServer = new HttpServer(buildCallersApp(entryJobs).fetch);
   const readinessServer = new HttpServer(
     new Hono().get('/ready', (context) => {
       const isReady =
-        !isDraining && configuration.findConfiguration() !== undefined && election.isConnected();
+        !isDraining && configuration.findConfiguration() !== undefined && elections.isConnected();
       return context.text(isReady ? 'ready' : 'not ready', isReady ? 200 : 503);
     }).fetch,
   );
@@ -144,7 +188,10 @@
     void mirror.run();
   });
   const missingServerTimer = setInterval(() => fleet.dropMissing(), MISSING_SERVER_CHECK_MS);
-  void registry.writeOwnRecord().then(() => election.run());
+  const layoutTimer = setInterval(() => {
+    void layoutPlanner.check();
+  }, LAYOUT_CHECK_MS);
+  void registry.writeOwnRecord();
   log.info({ self }, 'instance started');
   if (settings.isFirstStart) {
     void runWarmUp(clock, log, settings.ip, settings.callersAddress);
@@ -156,7 +203,7 @@
       const refuseFromMs = clock.now() + settings.shutdownGraceMs * ACCEPT_JOBS_SHARE;
       isDraining = true;
       callersServer.beginClosing();
-      await election.drain();
+      await elections.drain();
       while (clock.now() < endMs && (entryJobs.openJobs > 0 || clock.now() < refuseFromMs)) {
         if (clock.now() >= refuseFromMs) {
           entryJobs.refuseNewJobs();
@@ -169,9 +216,10 @@
       log.info({ openJobs: entryJobs.openJobs }, 'instance stops');
       callersServer.close();
       await registry.dropOwnRecord();
-      election.close();
+      elections.close();
       mirrors.forEach((mirror) => mirror.close());
       clearInterval(missingServerTimer);
+      clearInterval(layoutTimer);
       readinessServer.close();
       metricsServer.close();
       await peerServer.close();
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -1,9 +1,13 @@
 import type Logger from 'bunyan';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobSpec } from '@guavaspindle/kernel/engine/job-spec';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
-import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import { chooseHomePart } from '@guavaspindle/kernel/layout/choose-home-part';
+import type { PartLoad } from '@guavaspindle/kernel/layout/part-load';
+import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { JobService } from '@guavaspindle/platform-adapter/callers/job-service';
 import type { Configuration } from '@guavaspindle/platform-adapter/configuration/configuration';
@@ -27,24 +31,39 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: PoolMetrics;
+  /** The failure domain of this instance. */
+  readonly domain: DomainName;
   findConfiguration(): Configuration | undefined;
   /** Returns whether the platform's store has been unreachable recently. */
   hasRecentStoreFailure(): boolean;
-  /** Called when the leader is giving up the leadership. */
-  onLeaderLeaving(): void;
+  /** Called when the leader of a part is giving up the leadership. */
+  onLeaderLeaving(part: PartId): void;
+  /** Called when the leader of a part reports its load. */
+  onLoad(part: PartId, load: PartLoad): void;
 }
 
-/** The jobs for which callers wait at this instance; submits them to the current leader. */
-export class EntryJobs implements JobService, EntryPort {
+/** A cancellation that leaders have not answered yet. */
+interface PendingCancel {
+  readonly unanswered: Set<PartId>;
+  resolve(isKnown: boolean): void;
+}
+
+/**
+ * The jobs for which callers wait at this instance. Submits each job to the leader of one part of the
+ * backend servers: its home part, or the part to which that leader sends it on.
+ */
+export class EntryJobs implements JobService {
   private readonly jobs = new Map<JobId, OpenJob>();
 
-  private leader: LeaderPort | undefined;
+  private readonly leaders = new Map<PartId, LeaderPort>();
+
+  private parts: readonly PoolPart[] = [];
 
   private isRefusing = false;
 
   private pendingByQueue: ReadonlyMap<string, number> = new Map();
 
-  private readonly pendingCancels = new Map<JobId, (isKnown: boolean) => void>();
+  private readonly pendingCancels = new Map<JobId, PendingCancel>();
 
   constructor(private readonly options: EntryJobsOptions) {}
 
@@ -53,19 +72,64 @@
     return this.jobs.size;
   }
 
-  /** Sets the current leader and submits all open jobs to it; undefined while there is none. */
-  setLeader(leader: LeaderPort | undefined): void {
+  /**
+   * Sets the parts that jobs may be submitted to. Jobs of parts that no longer exist are submitted to
+   * others; their servers may belong to any part now.
+   */
+  setParts(parts: readonly PoolPart[]): void {
+    this.parts = parts;
+    const known = new Set(parts.map(({ id }) => id));
+    this.jobs.forEach((job) => {
+      if (job.part !== undefined && !known.has(job.part)) {
+        job.part = undefined;
+        job.mayRunOnUnknownServers = true;
+        this.sendJob(job);
+      }
+    });
+  }
+
+  /**
+   * Sets the current leader of a part and submits to it the open jobs of the part and those that no
+   * leader has; undefined while there is none.
+   */
+  setLeader(part: PartId, leader: LeaderPort | undefined): void {
     const nowMs = this.options.clock.now();
-    this.leader = leader;
+    if (leader === undefined) {
+      this.leaders.delete(part);
+      this.pendingCancels.forEach((_cancel, id) => this.answerCancel(part, id, false));
+    } else {
+      this.leaders.set(part, leader);
+    }
     this.jobs.forEach((job) => {
-      if (leader === undefined) {
-        job.leaderLostAtMs ??= job.wasSent ? nowMs : undefined;
-      } else {
+      if (leader !== undefined && (job.part === undefined || job.part === part)) {
         this.sendJob(job);
+      } else if (leader === undefined && job.part === part) {
+        job.leaderLostAtMs ??= nowMs;
       }
     });
   }
 
+  /** Builds the receiver of the messages from the leader of a part. */
+  buildPort(part: PartId): EntryPort {
+    return {
+      endJob: (id, outcome) => this.endJob(part, id, outcome),
+      moveJob: (id, target, wasMovedBefore) => this.moveJob(part, id, target, wasMovedBefore),
+      reportDone: (id, task) => {
+        this.jobs.get(id)?.doneTasks.add(task);
+      },
+      answerCancel: (id, isKnown) => this.answerCancel(part, id, isKnown),
+      reportPending: (pending) => {
+        this.pendingByQueue = pending;
+      },
+      reportLoad: (load) => this.options.onLoad(part, load),
+      reportLeaving: () => this.options.onLeaderLeaving(part),
+      // `LeaderElection` calls `setLeader` itself when the instance stops leading.
+      endLink() {},
+      // Only the port of a leader in the same process is asked; it has no link that can fall silent.
+      isSilent: () => false,
+    };
+  }
+
   /** Refuses all new jobs from now on; open jobs continue. */
   refuseNewJobs(): void {
     this.isRefusing = true;
@@ -100,7 +164,7 @@
       timers.push(
         setTimeout(() => this.endWait(job, settle, 'timeout'), timeoutMs),
         setTimeout(() => {
-          if (!job.wasSent) {
+          if (!job.mayHaveRun) {
             this.endWait(job, settle, 'no leader');
           }
         }, NO_LEADER_TIMEOUT_MS),
@@ -114,13 +178,17 @@
   }
 
   async cancelJob(id: JobId): Promise<boolean> {
-    if (this.leader === undefined) {
+    const leaders = [...this.leaders];
+    if (leaders.length === 0) {
       return this.jobs.has(id);
     }
-    const { leader } = this;
     const answer = new Promise<boolean>((resolve) => {
-      this.pendingCancels.set(id, resolve);
-      leader.cancelJob(id);
+      this.pendingCancels.set(id, {
+        unanswered: new Set(leaders.map(([part]) => part)),
+        resolve,
+      });
+      // Any part may have the job.
+      leaders.forEach(([, leader]) => leader.cancelJob(id));
     });
     const timeout = this.options.clock.pause(CANCEL_TIMEOUT_MS).then(() => this.jobs.has(id));
     const isKnown = await Promise.race([answer, timeout]);
@@ -132,42 +200,67 @@
     return this.pendingByQueue.get(queue) ?? 0;
   }
 
-  endJob(id: JobId, outcome: JobOutcome): void {
+  private endJob(part: PartId, id: JobId, outcome: JobOutcome): void {
     const job = this.jobs.get(id);
-    if (job === undefined) {
+    if (job?.part !== part) {
+      return;
+    }
+    if (outcome.kind === 'not-run' && outcome.isUnservable === true && this.sendElsewhere(job)) {
       return;
     }
+    this.settleJob(job, outcome);
+  }
+
+  /** Answers all callers of a job with its outcome. */
+  private settleJob(job: OpenJob, outcome: JobOutcome): void {
+    const { id, queue } = job.spec;
     this.jobs.delete(id);
     const ageMs = Math.round(this.options.clock.now() - job.arrivedAtMs);
-    this.options.metrics.recordJob(job.spec.queue.name, outcome.kind, ageMs);
-    this.options.log.info({ job: id, queue: job.spec.queue.name, outcome, ageMs }, 'job ended');
+    this.options.metrics.recordJob(queue.name, outcome.kind, ageMs);
+    this.options.log.info({ job: id, queue: queue.name, outcome, ageMs }, 'job ended');
     [...job.waiters].forEach((settle) => settle(outcome));
   }
 
-  reportDone(id: JobId, task: TaskId): void {
-    this.jobs.get(id)?.doneTasks.add(task);
-  }
-
-  answerCancel(id: JobId, isKnown: boolean): void {
-    this.pendingCancels.get(id)?.(isKnown);
-  }
-
-  reportPending(pending: ReadonlyMap<string, number>): void {
-    this.pendingByQueue = pending;
+  private moveJob(part: PartId, id: JobId, target: PartId, wasMovedBefore: boolean): void {
+    const job = this.jobs.get(id);
+    if (job?.part !== part) {
+      return;
+    }
+    job.triedParts.add(part);
+    job.isMoved = true;
+    job.mayHaveRun = wasMovedBefore;
+    job.hadEarlierLeader = false;
+    const leader = this.leaders.get(target);
+    if (leader !== undefined) {
+      this.submitTo(job, target, leader);
+    } else if (wasMovedBefore) {
+      const reason = 'the leader that the job was sent on to cannot be reached';
+      this.settleJob(job, { kind: 'unknown', reason });
+    } else if (!this.sendElsewhere(job)) {
+      const reason = 'no leader with room can be reached';
+      this.settleJob(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS });
+    }
   }
 
-  reportLeaving(): void {
-    this.options.onLeaderLeaving();
+  /** Submits a job that its part has sent back to another part; returns false if there is none. */
+  private sendElsewhere(job: OpenJob): boolean {
+    if (job.part !== undefined) {
+      job.triedParts.add(job.part);
+    }
+    job.part = undefined;
+    job.mayHaveRun = false;
+    job.hadEarlierLeader = false;
+    job.isMoved = true;
+    this.sendJob(job);
+    return job.part !== undefined;
   }
 
-  // `LeaderElection` calls `setLeader` itself when this instance stops leading.
-  // eslint-disable-next-line class-methods-use-this -- required by `EntryPort`
-  endLink(): void {}
-
-  // The leader runs in the same process, so there is no link that can fall silent.
-  // eslint-disable-next-line class-methods-use-this -- required by `EntryPort`
-  isSilent(): boolean {
-    return false;
+  private answerCancel(part: PartId, id: JobId, isKnown: boolean): void {
+    const pending = this.pendingCancels.get(id);
+    pending?.unanswered.delete(part);
+    if (pending !== undefined && (isKnown || pending.unanswered.size === 0)) {
+      pending.resolve(isKnown);
+    }
   }
 
   private addJob(spec: JobSpec): OpenJob {
@@ -176,8 +269,12 @@
       arrivedAtMs: this.options.clock.now(),
       doneTasks: new Set(),
       waiters: new Set(),
-      wasSent: false,
-      hadDomainLeader: false,
+      part: undefined,
+      triedParts: new Set(),
+      mayHaveRun: false,
+      hadEarlierLeader: false,
+      isMoved: false,
+      mayRunOnUnknownServers: false,
       leaderLostAtMs: undefined,
     };
     this.jobs.set(spec.id, job);
@@ -185,39 +282,60 @@
     return job;
   }
 
+  /** Submits a job to the leader of its part; without a part, to its home part or else another one. */
   private sendJob(job: OpenJob): void {
-    if (this.leader === undefined) {
-      return;
+    const part = job.part ?? this.choosePart(job);
+    const leader = part === undefined ? undefined : this.leaders.get(part);
+    if (part !== undefined && leader !== undefined) {
+      this.submitTo(job, part, leader);
     }
+  }
+
+  private choosePart(job: OpenJob): PartId | undefined {
+    const { domain } = this.options;
+    const reachable = this.parts.filter(
+      ({ id }) => this.leaders.has(id) && !job.triedParts.has(id),
+    );
+    const near = chooseHomePart(reachable, domain, job.spec.id);
+    return (near ?? reachable[0])?.id;
+  }
+
+  private submitTo(job: OpenJob, part: PartId, leader: LeaderPort): void {
     const nowMs = this.options.clock.now();
     const lostForMs = nowMs - (job.leaderLostAtMs ?? nowMs);
-    this.leader.submitJob({
+    const isResumed = job.hadEarlierLeader;
+    job.part = part;
+    leader.submitJob({
       spec: job.spec,
       ageMs: nowMs - job.arrivedAtMs,
       doneTasks: job.doneTasks,
-      isResumed: job.wasSent,
-      priorRunsExpireInMs: job.wasSent ? Math.max(0, linkTiming.priorRunLifetimeMs - lostForMs) : 0,
+      isResumed,
+      priorRunsExpireInMs: isResumed ? Math.max(0, linkTiming.priorRunLifetimeMs - lostForMs) : 0,
       // A leader that was cut off along with this instance may have used servers whose entries expired.
-      mayRunOnUnknownServers: job.hadDomainLeader || this.options.hasRecentStoreFailure(),
+      mayRunOnUnknownServers: job.mayRunOnUnknownServers || this.options.hasRecentStoreFailure(),
+      isMoved: job.isMoved,
     });
-    job.hadDomainLeader = this.leader.isDomainOnly;
-    job.wasSent = true;
+    job.mayRunOnUnknownServers = leader.isDomainOnly;
+    job.mayHaveRun = true;
+    job.hadEarlierLeader = true;
     job.leaderLostAtMs = undefined;
   }
 
   /** Answers one caller that stops waiting; the job is dropped along with its last caller. */
   private endWait(job: OpenJob, settle: (outcome: JobOutcome) => void, reason: string): void {
     settle(
-      job.wasSent
+      job.mayHaveRun
         ? { kind: 'unknown', reason }
         : { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS },
     );
     if (job.waiters.size === 0 && this.jobs.delete(job.spec.id)) {
-      this.leader?.dropCaller(job.spec.id);
+      if (job.part !== undefined) {
+        this.leaders.get(job.part)?.dropCaller(job.spec.id);
+      }
       const ageMs = Math.round(this.options.clock.now() - job.arrivedAtMs);
       this.options.metrics.recordJob(job.spec.queue.name, reason, ageMs);
       this.options.log.info(
-        { job: job.spec.id, queue: job.spec.queue.name, reason, wasSent: job.wasSent, ageMs },
+        { job: job.spec.id, queue: job.spec.queue.name, reason, mayHaveRun: job.mayHaveRun, ageMs },
         'job given up',
       );
     }
--- a/packages/instance/src/entry/open-job.ts
+++ b/packages/instance/src/entry/open-job.ts
@@ -1,5 +1,6 @@
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobSpec } from '@guavaspindle/kernel/engine/job-spec';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 
 /** A job for whose outcome at least one caller waits. */
@@ -11,10 +12,21 @@
   readonly doneTasks: Set<TaskId>;
   /** Callbacks of the waiting callers, one for each connection on which the job was sent. */
   readonly waiters: Set<(outcome: JobOutcome) => void>;
-  /** True once a leader may have received the job. */
-  wasSent: boolean;
-  /** True if the last leader that received the job led only a failure domain that was cut off. */
-  hadDomainLeader: boolean;
-  /** When the last leader that received the job was lost, in monotonic milliseconds. */
+  /** The part whose leader has the job or had it last; undefined if no leader may have it. */
+  part: PartId | undefined;
+  /** Parts whose leaders have sent the job back without starting anything of it. */
+  readonly triedParts: Set<PartId>;
+  /** True once something of the job may have started. */
+  mayHaveRun: boolean;
+  /** True if a leader other than the next one may have started something of the job. */
+  hadEarlierLeader: boolean;
+  /** True if the job goes to a part to which the leader of another one has sent it on. */
+  isMoved: boolean;
+  /**
+   * True if runs of the job may be on servers that the next leader does not know: the last leader led
+   * a failure domain that was cut off, or another part.
+   */
+  mayRunOnUnknownServers: boolean;
+  /** When the last leader that has the job was lost, in monotonic milliseconds. */
   leaderLostAtMs: number | undefined;
 }
--- a/packages/instance/src/lead/election-timing.ts
+++ b/packages/instance/src/lead/election-timing.ts
@@ -2,6 +2,8 @@
 export const electionTiming = {
   /** Interval between election steps; a change of the registry triggers a step at once. */
   checkIntervalMs: 20,
+  /** The same while the instance leads or has a link to the leader; its loss triggers a step too. */
+  connectedCheckIntervalMs: 100,
   /** Timeout for fetching another instance's view of the leader; covers several round trips. */
   viewTimeoutMs: 200,
   /** A leader counts as heard if a message from it arrived within this time; a few pings. */
@@ -10,6 +12,12 @@
   candidateDelayMs: 30,
   /** Delay after an attempt that neither reached a leader nor made this instance one. */
   retryDelayMs: 60,
+  /** Delay after an instance that may not lead a part has not reached the part's leader. */
+  observerRetryDelayMs: 150,
+  /** Interval at which a leader checks whether a better suited instance could take over. */
+  handoverCheckIntervalMs: 2_000,
+  /** A better suited instance must have been connected for this long before it takes over. */
+  stableConnectionMs: 3_000,
   /** Minimum time between two writes of the same kind to the store. */
   minWriteIntervalMs: 300,
   /** Interval at which the leader of a cut-off domain checks whether it can rejoin the others. */
--- /dev/null
+++ b/packages/instance/src/lead/layout-planner.ts
@@ -0,0 +1,44 @@
+import type Logger from 'bunyan';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { PoolLayout } from '@guavaspindle/kernel/layout/pool-layout';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
+import { computeLayout } from '@guavaspindle/kernel/layout/compute-layout';
+
+/** A layout is written once the fleet has called for the same one for this long, in milliseconds. */
+const STABLE_MS = 1_500;
+
+interface LayoutPlannerOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  findLayout(): PoolLayout;
+  countServers(): ReadonlyMap<DomainName, number>;
+  /** Returns whether this instance is the one that may write the layout now. */
+  isWriter(layout: PoolLayout): boolean;
+  writeLayout(layout: PoolLayout): Promise<void>;
+}
+
+/** Divides the fleet anew when it has outgrown the present layout. */
+export class LayoutPlanner {
+  private planned = '';
+
+  private plannedSinceMs = 0;
+
+  constructor(private readonly options: LayoutPlannerOptions) {}
+
+  /** Writes a new layout if the fleet has called for it long enough; call it regularly. */
+  async check(): Promise<void> {
+    const { clock, log, findLayout, countServers, isWriter, writeLayout } = this.options;
+    const current = findLayout();
+    const next = computeLayout(countServers(), current);
+    const nowMs = clock.now();
+    const text = JSON.stringify([...next]);
+    if (text !== this.planned || text === JSON.stringify([...current]) || !isWriter(current)) {
+      this.planned = text;
+      this.plannedSinceMs = nowMs;
+    } else if (nowMs - this.plannedSinceMs >= STABLE_MS) {
+      this.plannedSinceMs = nowMs;
+      log.warn({ layout: Object.fromEntries(next) }, 'dividing the backend servers anew');
+      await writeLayout(next);
+    }
+  }
+}
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -3,12 +3,14 @@
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
+import { rankCandidates } from '@guavaspindle/kernel/layout/rank-candidates';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { EntryJobs } from '../entry/entry-jobs';
 import { fetchInstanceView } from '../links/fetch-instance-view';
 import type { EntryPort } from '../links/entry-port';
 import type { InstanceView } from '../links/instance-view';
-import type { LinkHost } from '../links/link-host';
 import { LeaderLink } from '../links/leader-link';
 import type { PoolLeader } from '../pool/pool-leader';
 import type { RegisteredInstance } from '../registry/registered-instance';
@@ -17,37 +19,48 @@
 import { electionTiming } from './election-timing';
 
 interface LeaderElectionOptions {
+  /** The part of the backend servers whose leader is elected. */
+  readonly part: PoolPart;
   readonly self: RegisteredInstance;
   readonly registry: InstanceRegistry;
   readonly entry: EntryJobs;
   readonly clock: Clock;
   readonly log: Logger;
+  /** Number of parts that this instance leads. */
+  countLedParts(): number;
   /**
-   * Starts leading all backend servers (`all`) or only those of this instance's failure domain
-   * (`domain`). `onFenced` is called when a server has seen a higher fencing token.
+   * Starts leading the servers of the part (`all`) or only those of them in this instance's failure
+   * domain (`domain`). `onFenced` is called when a server has seen a higher fencing token.
    */
-  openPool(token: number, scope: 'all' | 'domain', onFenced: () => void): PoolLeader;
+  openPool(
+    part: PoolPart,
+    token: number,
+    scope: 'all' | 'domain',
+    onFenced: () => void,
+  ): PoolLeader;
 }
 
 /** Fetches the views of the given instances in parallel. */
 async function fetchInstanceViews(
   others: readonly RegisteredInstance[],
+  part: PartId,
 ): Promise<{ other: RegisteredInstance; view: InstanceView | undefined }[]> {
   return Promise.all(
     others.map(async (other) => ({
       other,
-      view: await fetchInstanceView(other.address, electionTiming.viewTimeoutMs),
+      view: await fetchInstanceView(other.address, part, electionTiming.viewTimeoutMs),
     })),
   );
 }
 
 /**
- * Keeps this instance connected to the leader of the pool of backend servers, and takes over the
- * leadership when no other instance has it. The leadership is claimed in the platform's store. A
- * failure domain that reaches neither the leader nor the store is led by one of its own instances,
- * with a fallback fencing token that the instance obtained earlier.
+ * Keeps this instance connected to the leader of a part of the backend servers, and takes over the
+ * leadership when no other instance has it. The leadership is claimed in the platform's store; only
+ * instances in the part's failure domain claim it. A failure domain that reaches neither the leader nor
+ * the store is led by one of its own instances, with a fallback fencing token that the instance
+ * obtained earlier.
  */
-export class LeaderElection implements LinkHost {
+export class LeaderElection {
   private pool: PoolLeader | undefined;
 
   private scope: 'all' | 'domain' = 'all';
@@ -66,12 +79,19 @@
 
   private nextWriteAtMs = 0;
 
+  private nextHandoverCheckAtMs = 0;
+
   private wake: (() => void) | undefined;
 
   private isClosed = false;
 
   constructor(private readonly options: LeaderElectionOptions) {}
 
+  /** Whether this instance leads the part now. */
+  get isLeading(): boolean {
+    return this.pool !== undefined;
+  }
+
   /** Returns whether jobs can be submitted to a leader now. */
   isConnected(): boolean {
     return this.pool !== undefined || this.link !== undefined;
@@ -84,7 +104,10 @@
       await this.runStep();
       await new Promise<void>((resolve) => {
         this.wake = resolve;
-        void clock.pause(electionTiming.checkIntervalMs).then(resolve);
+        const pauseMs = this.isConnected()
+          ? electionTiming.connectedCheckIntervalMs
+          : electionTiming.checkIntervalMs;
+        void clock.pause(pauseMs).then(resolve);
       });
     }
   }
@@ -101,8 +124,8 @@
   }
 
   /**
-   * Hands over the leadership of all domains if this instance has it. Resolves when this instance
-   * no longer leads, or after the handover timeout.
+   * Hands over the leadership if this instance has it with a claim in the store. Resolves when this
+   * instance no longer leads, or after the handover timeout.
    */
   async drain(): Promise<void> {
     const { clock } = this.options;
@@ -162,7 +185,8 @@
   }
 
   private async runStep(): Promise<void> {
-    const claim = this.options.registry.findClaim();
+    const { registry, part } = this.options;
+    const claim = registry.findClaim(part.id);
     if (this.pool !== undefined) {
       await (this.scope === 'all'
         ? this.advanceAsLeader(claim)
@@ -175,19 +199,19 @@
   }
 
   private async advanceAsLeader(claim: LeadershipClaim | undefined): Promise<void> {
-    const { registry, self, clock } = this.options;
+    const { registry, self, clock, part } = this.options;
     if (claim !== undefined && claim.leader.incarnation !== self.incarnation) {
       this.stopLeading(`replaced by ${claim.leader.name}`);
     } else if (this.wasFenced && clock.now() >= this.nextWriteAtMs) {
       // A server has seen a higher token, from an instance that was cut off or from a new leader.
       this.nextWriteAtMs = clock.now() + electionTiming.minWriteIntervalMs;
       await registry.readNow();
-      const current = registry.findClaim();
+      const current = registry.findClaim(part.id);
       if (current !== undefined && current.leader.incarnation !== self.incarnation) {
         this.stopLeading(`replaced by ${current.leader.name}`);
         return;
       }
-      const renewed = await registry.claimLeadership();
+      const renewed = await registry.claimLeadership(part.id);
       if (renewed !== undefined) {
         this.wasFenced = false;
         this.options.log.warn(
@@ -196,11 +220,50 @@
         );
         this.pool?.adoptToken(renewed.revision);
       }
+    } else if (clock.now() >= this.nextHandoverCheckAtMs) {
+      this.nextHandoverCheckAtMs = clock.now() + electionTiming.handoverCheckIntervalMs;
+      if (this.hasBetterCandidate()) {
+        this.options.log.info({ part: part.id }, 'handing over to a better suited instance');
+        this.pool?.reportLeaving();
+      }
     }
   }
 
+  /**
+   * Returns whether an instance that ranks before this one has been connected for some time, and has
+   * more processor capacity or would relieve this instance of one of several parts.
+   */
+  private hasBetterCandidate(): boolean {
+    const { self, countLedParts } = this.options;
+    const candidates = this.rankCandidates();
+    return candidates
+      .slice(
+        0,
+        candidates.findIndex(({ name }) => name === self.name),
+      )
+      .some(
+        ({ name, cores }) =>
+          (cores > self.cores || countLedParts() > 1) &&
+          this.pool?.isEntryConnectedFor(name, electionTiming.stableConnectionMs) === true,
+      );
+  }
+
+  /** Ranks the instances that may lead the part, this one included, best first. */
+  private rankCandidates(): readonly RegisteredInstance[] {
+    const { registry, self, part } = this.options;
+    const candidates = [...registry.listOthers(), self].filter(
+      ({ domain }) => part.domain === undefined || part.domain === domain,
+    );
+    return rankCandidates(candidates, part);
+  }
+
+  private canLead(): boolean {
+    const { part, self } = this.options;
+    return part.domain === undefined || part.domain === self.domain;
+  }
+
   private async advanceAsFollower(claim: LeadershipClaim | undefined): Promise<void> {
-    const { registry, clock, log } = this.options;
+    const { registry, clock, log, part } = this.options;
     const { link } = this;
     if (link === undefined || claim === undefined) {
       return;
@@ -213,12 +276,18 @@
       link.close(`${claim.leader.name} is the new leader`);
       return;
     }
+    if (!this.canLead()) {
+      return;
+    }
     if (this.isLeaderLeaving && !this.isDraining) {
-      await this.claimInNameOrder(claim);
-    } else if (registry.findFallbackToken() === undefined && clock.now() >= this.nextWriteAtMs) {
+      await this.claimInRankOrder(claim);
+    } else if (
+      registry.findFallbackToken(part.id) === undefined &&
+      clock.now() >= this.nextWriteAtMs
+    ) {
       this.nextWriteAtMs = clock.now() + electionTiming.minWriteIntervalMs;
       if (await registry.writeOwnRecord()) {
-        log.info({ token: registry.findFallbackToken() }, 'fallback fencing token obtained');
+        log.info({ token: registry.findFallbackToken(part.id) }, 'fallback fencing token obtained');
       }
     }
   }
@@ -228,7 +297,7 @@
    * the leadership of all domains.
    */
   private async advanceAsDomainLeader(claim: LeadershipClaim | undefined): Promise<void> {
-    const { clock, registry, self } = this.options;
+    const { clock, registry, self, part } = this.options;
     if (this.wasFenced) {
       this.wasFenced = false;
       this.domainBackoffUntilMs = clock.now() + electionTiming.fencedBackoffMs;
@@ -237,19 +306,23 @@
     }
     await clock.pause(electionTiming.rejoinIntervalMs);
     if (claim !== undefined && claim.leader.incarnation !== self.incarnation) {
-      const view = await fetchInstanceView(claim.leader.address, electionTiming.viewTimeoutMs);
+      const view = await fetchInstanceView(
+        claim.leader.address,
+        part.id,
+        electionTiming.viewTimeoutMs,
+      );
       if (view?.heardLeader === claim.leader.incarnation) {
         this.stopLeading('the leader is reachable again');
         return;
       }
     }
     if (await registry.readNow()) {
-      const current = registry.findClaim();
+      const current = registry.findClaim(part.id);
       if (current?.leader.incarnation !== claim?.leader.incarnation) {
         this.stopLeading('another instance has claimed the leadership');
         return;
       }
-      const views = await fetchInstanceViews(registry.listOthers());
+      const views = await fetchInstanceViews(this.listOtherCandidates(), part.id);
       if (!views.some(({ view }) => view?.heardLeader === claim?.leader.incarnation)) {
         await this.claimLeadership();
       }
@@ -262,7 +335,7 @@
       return;
     }
     if (claim === undefined) {
-      await this.claimUnlessDraining();
+      await this.claimInRankOrder(undefined);
     } else if (claim.leader.incarnation === self.incarnation) {
       this.startLeading(claim.revision, 'all');
     } else if (claim.leader.name === self.name) {
@@ -275,13 +348,17 @@
   }
 
   private async handleUnreachableLeader(claim: LeadershipClaim): Promise<void> {
-    const { registry, log } = this.options;
-    const others = registry.listOthers().filter(({ name }) => name !== claim.leader.name);
+    const { registry, log, part } = this.options;
+    if (!this.canLead()) {
+      await this.options.clock.pause(electionTiming.observerRetryDelayMs);
+      return;
+    }
+    const others = this.listOtherCandidates().filter(({ name }) => name !== claim.leader.name);
     const [views, isStoreReachable] = await Promise.all([
-      fetchInstanceViews(others),
+      fetchInstanceViews(others, part.id),
       registry.readNow(),
     ]);
-    if (registry.findClaim()?.revision !== claim.revision) {
+    if (registry.findClaim(part.id)?.revision !== claim.revision) {
       return;
     }
     const heardBy = views.find(({ view }) => view?.heardLeader === claim.leader.incarnation);
@@ -294,7 +371,7 @@
     }
     this.isIsolated = !isStoreReachable;
     if (isStoreReachable) {
-      await this.claimInNameOrder(claim);
+      await this.claimInRankOrder(claim);
     } else {
       await this.joinOrLeadDomain(views);
     }
@@ -303,7 +380,7 @@
   private async joinOrLeadDomain(
     views: readonly { other: RegisteredInstance; view: InstanceView | undefined }[],
   ): Promise<void> {
-    const { self, registry, clock, log } = this.options;
+    const { self, registry, clock, log, part } = this.options;
     const domainPeers = views.filter(
       ({ other, view }) => other.domain === self.domain && view !== undefined,
     );
@@ -313,7 +390,7 @@
       return;
     }
     const isFirstByName = domainPeers.every(({ other }) => other.name > self.name);
-    const token = registry.findFallbackToken();
+    const token = registry.findFallbackToken(part.id);
     if (!isFirstByName || clock.now() < this.domainBackoffUntilMs || this.isDraining) {
       return;
     }
@@ -324,53 +401,64 @@
     this.startLeading(token, 'domain');
   }
 
+  /** Lists the other instances that may lead the part. */
+  private listOtherCandidates(): RegisteredInstance[] {
+    const { registry, part } = this.options;
+    return registry
+      .listOthers()
+      .filter(({ domain }) => part.domain === undefined || part.domain === domain);
+  }
+
   /**
-   * Claims the leadership after a delay for each candidate whose name sorts before this instance's.
-   * Does nothing if the claim has changed in the meantime.
+   * Claims the leadership after a delay for each candidate that ranks before this instance. Does
+   * nothing if the claim has changed in the meantime.
    */
-  private async claimInNameOrder(claim: LeadershipClaim): Promise<void> {
-    const { registry, self, clock } = this.options;
-    const candidates = [...registry.listOthers(), self]
-      .filter(({ name }) => name !== claim.leader.name)
-      .map(({ name }) => name)
-      .sort();
-    await clock.pause(Math.max(0, candidates.indexOf(self.name)) * electionTiming.candidateDelayMs);
-    if (registry.findClaim()?.revision === claim.revision) {
+  private async claimInRankOrder(claim: LeadershipClaim | undefined): Promise<void> {
+    const { registry, self, clock, part } = this.options;
+    if (!this.canLead()) {
+      return;
+    }
+    const candidates = this.rankCandidates().filter(({ name }) => name !== claim?.leader.name);
+    const rank = candidates.findIndex(({ name }) => name === self.name);
+    await clock.pause(Math.max(0, rank) * electionTiming.candidateDelayMs);
+    if (registry.findClaim(part.id)?.revision === claim?.revision) {
       await this.claimUnlessDraining();
     }
   }
 
   private async claimUnlessDraining(): Promise<void> {
-    if (!this.isDraining) {
+    if (!this.isDraining && !this.isClosed && this.canLead()) {
       await this.claimLeadership();
     }
   }
 
   private async claimLeadership(): Promise<void> {
-    const claimed = await this.options.registry.claimLeadership();
-    if (claimed !== undefined) {
-      this.stopLeading('this instance has claimed the leadership of all domains');
+    const claimed = await this.options.registry.claimLeadership(this.options.part.id);
+    if (claimed !== undefined && !this.isClosed) {
+      this.stopLeading('this instance has claimed the leadership');
       this.startLeading(claimed.revision, 'all');
     }
   }
 
   private startLeading(token: number, scope: 'all' | 'domain'): void {
-    const { entry, self, log } = this.options;
-    log.warn({ token, scope }, 'this instance leads');
+    const { entry, self, log, part, clock } = this.options;
+    log.warn({ part: part.id, token, scope }, 'this instance leads');
+    this.nextHandoverCheckAtMs = clock.now() + electionTiming.handoverCheckIntervalMs;
     this.scope = scope;
     this.wasFenced = false;
     this.isLeaderLeaving = false;
-    const pool = this.options.openPool(token, scope, () => {
+    const pool = this.options.openPool(part, token, scope, () => {
       this.wasFenced = true;
       this.wakeUp();
     });
     this.pool = pool;
     this.link?.close('this instance leads');
-    pool.addEntry(self.name, entry);
-    entry.setLeader({
+    const port = entry.buildPort(part.id);
+    pool.addEntry(self.name, port);
+    entry.setLeader(part.id, {
       isDomainOnly: scope === 'domain',
       submitJob: (submission) => pool.submitJob({ ...submission, owner: self.name }),
-      cancelJob: (id) => entry.answerCancel(id, pool.cancelJob(id)),
+      cancelJob: (id) => port.answerCancel(id, pool.cancelJob(id)),
       dropCaller: (id) => pool.dropCaller(id, self.name),
     });
   }
@@ -380,33 +468,38 @@
     if (pool === undefined) {
       return;
     }
-    this.options.log.warn({ scope: this.scope, reason }, 'this instance stops leading');
+    const { part, log, entry } = this.options;
+    log.warn({ part: part.id, scope: this.scope, reason }, 'this instance stops leading');
     this.pool = undefined;
-    this.options.entry.setLeader(undefined);
+    entry.setLeader(part.id, undefined);
     pool.close();
   }
 
   private async openLink(leader: RegisteredInstance): Promise<boolean> {
-    const { self, clock, entry, log } = this.options;
-    const link = new LeaderLink(leader, self, clock, entry, (reason) => {
+    const { self, clock, entry, log, part } = this.options;
+    const port = entry.buildPort(part.id);
+    const link = new LeaderLink(part.id, leader, self, clock, port, (reason) => {
       if (this.link === link) {
-        log.warn({ leader: leader.name, reason }, 'link to the leader lost');
+        log.warn({ part: part.id, leader: leader.name, reason }, 'link to the leader lost');
         this.link = undefined;
-        entry.setLeader(undefined);
+        entry.setLeader(part.id, undefined);
         this.wakeUp();
       }
     });
     const opened = await link.open();
     if (opened !== 'up' || this.isClosed) {
       link.close('not opened');
-      log.info({ leader: leader.name, opened }, 'link to the leader could not be opened');
+      log.info(
+        { part: part.id, leader: leader.name, opened },
+        'link to the leader could not be opened',
+      );
       return false;
     }
-    log.info({ leader: leader.name }, 'link to the leader open');
+    log.info({ part: part.id, leader: leader.name }, 'link to the leader open');
     this.isIsolated = false;
     this.isLeaderLeaving = false;
     this.link = link;
-    entry.setLeader(link);
+    entry.setLeader(part.id, link);
     return true;
   }
 }
--- /dev/null
+++ b/packages/instance/src/lead/part-elections.ts
@@ -0,0 +1,134 @@
+import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import type { PoolLayout } from '@guavaspindle/kernel/layout/pool-layout';
+import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
+import { listParts } from '@guavaspindle/kernel/layout/list-parts';
+import { computeRendezvousScore } from '@guavaspindle/kernel/placement/compute-rendezvous-score';
+import type { EntryPort } from '../links/entry-port';
+import type { InstanceView } from '../links/instance-view';
+import type { LinkHost } from '../links/link-host';
+import type { LeaderElection } from './leader-election';
+
+/** Number of parts of other failure domains to which an instance keeps links. */
+const MAX_REMOTE_PARTS = 8;
+
+interface PartElectionsOptions {
+  /** The failure domain of this instance. */
+  readonly domain: DomainName;
+  openElection(part: PoolPart): LeaderElection;
+  /** Called when the parts have changed to which this instance keeps links. */
+  onPartsChanged(parts: readonly PoolPart[]): void;
+}
+
+/** Chooses the parts to link to: all of the own domain, and the same others in the whole domain. */
+function choosePartsToLink(layout: PoolLayout, domain: DomainName): readonly PoolPart[] {
+  const parts = listParts(layout);
+  const own = parts.filter((part) => part.domain === undefined || part.domain === domain);
+  const remote = parts
+    .filter((part) => !own.includes(part))
+    .sort((a, b) => computeRendezvousScore(b.id, domain) - computeRendezvousScore(a.id, domain));
+  return [...own, ...remote.slice(0, MAX_REMOTE_PARTS)];
+}
+
+/** The elections of the parts of the present layout, one for each part that this instance links to. */
+export class PartElections implements LinkHost {
+  private readonly elections = new Map<PartId, LeaderElection>();
+
+  private isClosed = false;
+
+  constructor(private readonly options: PartElectionsOptions) {}
+
+  /** Opens the elections of new parts and closes those of parts that no longer exist. */
+  applyLayout(layout: PoolLayout): void {
+    if (this.isClosed) {
+      return;
+    }
+    const parts = choosePartsToLink(layout, this.options.domain);
+    const ids = new Set(parts.map(({ id }) => id));
+    const added = parts.filter(({ id }) => !this.elections.has(id));
+    const removed = [...this.elections.keys()].filter((id) => !ids.has(id));
+    if (added.length === 0 && removed.length === 0) {
+      return;
+    }
+    removed.forEach((id) => {
+      this.elections.get(id)?.close();
+      this.elections.delete(id);
+    });
+    this.options.onPartsChanged(parts);
+    added.forEach((part) => {
+      const election = this.options.openElection(part);
+      this.elections.set(part.id, election);
+      void election.run();
+    });
+  }
+
+  /** Ends the pause between two steps of every election. */
+  wakeUp(): void {
+    this.elections.forEach((election) => election.wakeUp());
+  }
+
+  /** Returns whether jobs can be submitted to a leader now. */
+  isConnected(): boolean {
+    return [...this.elections.values()].some((election) => election.isConnected());
+  }
+
+  /** Counts the parts that this instance leads. */
+  countLedParts(): number {
+    return [...this.elections.values()].filter(({ isLeading }) => isLeading).length;
+  }
+
+  /** Returns whether this instance leads the first part of a layout; one instance does at a time. */
+  isLeadingFirstPart(layout: PoolLayout): boolean {
+    const [first] = listParts(layout);
+    return first !== undefined && this.elections.get(first.id)?.isLeading === true;
+  }
+
+  /** Records that the leader of a part is giving up the leadership. */
+  recordLeaderLeaving(part: PartId): void {
+    this.elections.get(part)?.recordLeaderLeaving();
+  }
+
+  /** Hands over all leaderships of this instance; resolves when they are over or time has run out. */
+  async drain(): Promise<void> {
+    await Promise.all([...this.elections.values()].map((election) => election.drain()));
+  }
+
+  /** Stops leading, closes all links and ends all elections. */
+  close(): void {
+    this.isClosed = true;
+    this.elections.forEach((election) => election.close());
+  }
+
+  openEntry(part: PartId, name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined {
+    return this.elections.get(part)?.openEntry(name, port);
+  }
+
+  closeEntry(part: PartId, name: InstanceName, port: EntryPort): void {
+    this.elections.get(part)?.closeEntry(name, port);
+  }
+
+  submitJob(part: PartId, submission: EngineSubmission): void {
+    this.elections.get(part)?.submitJob(submission);
+  }
+
+  cancelJob(part: PartId, id: JobId): boolean {
+    return this.elections.get(part)?.cancelJob(id) ?? false;
+  }
+
+  dropCaller(part: PartId, id: JobId, owner: InstanceName): void {
+    this.elections.get(part)?.dropCaller(id, owner);
+  }
+
+  getView(part: PartId): InstanceView {
+    return (
+      this.elections.get(part)?.getView() ?? {
+        heardLeader: '',
+        isIsolated: false,
+        leadsDomain: false,
+      }
+    );
+  }
+}
--- a/packages/instance/src/links/decode-job.ts
+++ b/packages/instance/src/links/decode-job.ts
@@ -37,5 +37,6 @@
     isResumed: job.isResumed,
     priorRunsExpireInMs: job.runsMayLiveMs,
     mayRunOnUnknownServers: job.runsMayHide,
+    isMoved: job.isMoved,
   };
 }
--- a/packages/instance/src/links/decode-outcome.ts
+++ b/packages/instance/src/links/decode-outcome.ts
@@ -15,6 +15,7 @@
         kind: 'not-run',
         reason: outcome.value.reason,
         retryAfterMs: outcome.value.retryAfterMs,
+        isUnservable: outcome.value.isUnservable,
       };
     case 'unknown':
       return { kind: 'unknown', reason: outcome.value.reason };
--- a/packages/instance/src/links/encode-job.ts
+++ b/packages/instance/src/links/encode-job.ts
@@ -28,5 +28,6 @@
     isResumed: submission.isResumed,
     runsMayLiveMs: Math.ceil(submission.priorRunsExpireInMs),
     runsMayHide: submission.mayRunOnUnknownServers,
+    isMoved: submission.isMoved,
   });
 }
--- a/packages/instance/src/links/encode-outcome.ts
+++ b/packages/instance/src/links/encode-outcome.ts
@@ -16,7 +16,11 @@
     case 'not-run':
       return {
         case: 'notRun',
-        value: { reason: outcome.reason, retryAfterMs: Math.round(outcome.retryAfterMs) },
+        value: {
+          reason: outcome.reason,
+          retryAfterMs: Math.round(outcome.retryAfterMs),
+          isUnservable: outcome.isUnservable ?? false,
+        },
       };
     case 'abandoned':
     case 'unknown':
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -1,14 +1,19 @@
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import type { PartLoad } from '@guavaspindle/kernel/layout/part-load';
 
 /** Messages from the leader to an entry instance, the instance at which a job's callers wait. */
 export interface EntryPort {
   endJob(id: JobId, outcome: JobOutcome): void;
+  /** The job has not started; it is to be submitted to the leader of another part. */
+  moveJob(id: JobId, part: PartId, wasMovedBefore: boolean): void;
   reportDone(id: JobId, task: TaskId): void;
   answerCancel(id: JobId, isKnown: boolean): void;
   /** Reports, by queue, the number of jobs of which no task has started. */
   reportPending(pending: ReadonlyMap<string, number>): void;
+  reportLoad(load: PartLoad): void;
   /** The leader is giving up the leadership; another instance is to claim it. */
   reportLeaving(): void;
   /** The leader has stopped leading, which ends the link. */
--- a/packages/instance/src/links/fetch-instance-view.ts
+++ b/packages/instance/src/links/fetch-instance-view.ts
@@ -1,11 +1,13 @@
 import { createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import { InstanceService } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import type { InstanceView } from './instance-view';
 
-/** Fetches an instance's view of the leader; undefined if it does not answer in time. */
+/** Fetches an instance's view of the leader of a part; undefined if it does not answer in time. */
 export async function fetchInstanceView(
   address: string,
+  part: PartId,
   timeoutMs: number,
 ): Promise<InstanceView | undefined> {
   const baseUrl = `http://${address}`;
@@ -17,7 +19,7 @@
     useBinaryFormat: true,
   });
   try {
-    return await createClient(InstanceService, transport).getView({}, { timeoutMs });
+    return await createClient(InstanceService, transport).getView({ part }, { timeoutMs });
   } catch {
     // Errors are not reported: callers treat the instance as unreachable or stopped.
     return undefined;
--- a/packages/instance/src/links/instance-view.ts
+++ b/packages/instance/src/links/instance-view.ts
@@ -1,4 +1,4 @@
-/** How an instance sees the leader, as it reports to other instances. */
+/** How an instance sees the leader of a part, as it reports to other instances. */
 export interface InstanceView {
   /**
    * Incarnation of the leader from which it has recently received a message (its own if it leads all
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -4,6 +4,7 @@
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import {
@@ -22,7 +23,7 @@
 import type { LeaderPort } from './leader-port';
 import { linkTiming } from './link-timing';
 
-/** The link from this entry instance to a remote leader. */
+/** The link from this entry instance to the remote leader of a part. */
 export class LeaderLink implements LeaderPort {
   private readonly batches = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
 
@@ -38,6 +39,7 @@
 
   /** @param onClosed - called once when the link is closed, for whatever reason */
   constructor(
+    private readonly part: PartId,
     readonly leader: RegisteredInstance,
     private readonly self: RegisteredInstance,
     private readonly clock: Clock,
@@ -76,6 +78,7 @@
         instance: this.self.name,
         domain: this.self.domain,
         leaderIncarnation: this.leader.incarnation,
+        part: this.part,
       });
     });
     const replies = client.openLink(this.batches)[Symbol.asyncIterator]();
@@ -145,6 +148,12 @@
 
   private handleBatch(batch: LeaderBatch): void {
     batch.done.forEach(({ jobId, task }) => this.entry.reportDone(jobId as JobId, task as TaskId));
+    batch.moved.forEach(({ id, part, wasMovedBefore }) =>
+      this.entry.moveJob(id as JobId, part as PartId, wasMovedBefore),
+    );
+    if (batch.load !== undefined) {
+      this.entry.reportLoad(batch.load);
+    }
     batch.ended.forEach((ended) => this.entry.endJob(ended.id as JobId, decodeOutcome(ended)));
     batch.cancelAnswers.forEach(({ id, isKnown }) => this.entry.answerCancel(id as JobId, isKnown));
     const pending = Object.entries(batch.pending);
--- a/packages/instance/src/links/link-host.ts
+++ b/packages/instance/src/links/link-host.ts
@@ -1,20 +1,21 @@
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { EntryPort } from './entry-port';
 import type { InstanceView } from './instance-view';
 
-/** What the link service needs from its instance, which may be the leader. */
+/** What the link service needs from its instance, which may lead parts of the backend servers. */
 export interface LinkHost {
   /**
-   * Connects an entry instance. Returns whether this instance leads all failure domains or only its
-   * own; undefined if it does not lead.
+   * Connects an entry instance to the leader of a part. Returns whether this instance leads the part
+   * in all failure domains or only in its own; undefined if it does not lead the part.
    */
-  openEntry(name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined;
-  closeEntry(name: InstanceName, port: EntryPort): void;
-  submitJob(submission: EngineSubmission): void;
-  cancelJob(id: JobId): boolean;
+  openEntry(part: PartId, name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined;
+  closeEntry(part: PartId, name: InstanceName, port: EntryPort): void;
+  submitJob(part: PartId, submission: EngineSubmission): void;
+  cancelJob(part: PartId, id: JobId): boolean;
   /** The caller of a job no longer waits at the entry instance `owner`. */
-  dropCaller(id: JobId, owner: InstanceName): void;
-  getView(): InstanceView;
+  dropCaller(part: PartId, id: JobId, owner: InstanceName): void;
+  getView(part: PartId): InstanceView;
 }
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -3,11 +3,13 @@
 import type { ServiceImpl } from '@connectrpc/connect';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import {
   GetViewResponseSchema,
   LeaderBatchSchema,
   type EntryBatch,
+  type GetViewRequest,
   type GetViewResponse,
   type InstanceService,
   type LeaderBatch,
@@ -24,16 +26,17 @@
     private readonly clock: Clock,
   ) {}
 
-  getView(): GetViewResponse {
-    return create(GetViewResponseSchema, this.host.getView());
+  getView({ part }: GetViewRequest): GetViewResponse {
+    return create(GetViewResponseSchema, this.host.getView(part as PartId));
   }
 
   async *openLink(requests: AsyncIterable<EntryBatch>): AsyncGenerator<LeaderBatch> {
     const iterator = requests[Symbol.asyncIterator]();
     const first = await iterator.next();
     const name = (first.done === true ? '' : (first.value.hello?.instance ?? '')) as InstanceName;
+    const part = (first.done === true ? '' : (first.value.hello?.part ?? '')) as PartId;
     const entry = new RemoteEntry(this.clock);
-    const scope = name === '' ? undefined : this.host.openEntry(name, entry);
+    const scope = name === '' ? undefined : this.host.openEntry(part, name, entry);
     yield create(LeaderBatchSchema, {
       hello: { isLeader: scope !== undefined, isDomainOnly: scope === 'domain' },
     });
@@ -44,12 +47,12 @@
     // the entry without waiting for the `finally` block below.
     const close = (): void => {
       entry.endLink();
-      this.host.closeEntry(name, entry);
+      this.host.closeEntry(part, name, entry);
     };
     const receive = async (): Promise<void> => {
       for (let next = first; next.done !== true; next = await iterator.next()) {
         entry.recordMessage();
-        this.handleBatch(next.value, name, entry);
+        this.handleBatch(next.value, part, name, entry);
       }
     };
     // A failed stream closes the entry like one that ends, so the error itself is not needed.
@@ -72,13 +75,18 @@
     }
   }
 
-  private handleBatch(batch: EntryBatch, name: InstanceName, entry: RemoteEntry): void {
-    batch.jobs.forEach((job) => this.host.submitJob(decodeJob(job, name)));
+  private handleBatch(
+    batch: EntryBatch,
+    part: PartId,
+    name: InstanceName,
+    entry: RemoteEntry,
+  ): void {
+    batch.jobs.forEach((job) => this.host.submitJob(part, decodeJob(job, name)));
     batch.cancels.forEach(({ id, callerLeft }) => {
       if (callerLeft) {
-        this.host.dropCaller(id as JobId, name);
+        this.host.dropCaller(part, id as JobId, name);
       } else {
-        entry.answerCancel(id as JobId, this.host.cancelJob(id as JobId));
+        entry.answerCancel(id as JobId, this.host.cancelJob(part, id as JobId));
       }
     });
   }
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -1,12 +1,16 @@
 import { create } from '@bufbuild/protobuf';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import type { PartLoad } from '@guavaspindle/kernel/layout/part-load';
 import {
   CancelAnswerSchema,
   DoneTaskSchema,
   EndedJobSchema,
   LeaderBatchSchema,
+  MovedJobSchema,
+  PartLoadSchema,
   type LeaderBatch,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
@@ -45,6 +49,21 @@
     });
   }
 
+  moveJob(id: JobId, part: PartId, wasMovedBefore: boolean): void {
+    this.batches.addToBatch((batch) => {
+      batch.moved.push(create(MovedJobSchema, { id, part, wasMovedBefore }));
+    });
+  }
+
+  reportLoad({ spareCpuMilli, loopLagMs }: PartLoad): void {
+    this.batches.addToBatch((batch) => {
+      batch.load = create(PartLoadSchema, {
+        spareCpuMilli: Math.max(0, Math.round(spareCpuMilli)),
+        loopLagMs: Math.max(0, Math.round(loopLagMs)),
+      });
+    });
+  }
+
   reportDone(id: JobId, task: TaskId): void {
     this.batches.addToBatch((batch) => {
       batch.done.push(create(DoneTaskSchema, { jobId: id, task }));
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -5,6 +5,7 @@
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
+import { isServerInPart } from '@guavaspindle/kernel/layout/is-server-in-part';
 import type { EntryPort } from '../links/entry-port';
 import type { FleetListener } from '../store/fleet-listener';
 import { ProcessLoadMeter } from '../process/process-load-meter';
@@ -29,11 +30,13 @@
  * a task or the pause of a server has ended.
  */
 const TICK_INTERVAL_MS = 25;
+/** Interval at which the spare capacity of the part is reported to the entry instances. */
+const SPARE_REPORT_INTERVAL_MS = 100;
 /** Interval at which the load of the pool is logged and exported. */
 const LOAD_REPORT_INTERVAL_MS = 1_000;
 
 /**
- * Leads a pool of backend servers: carries out the engine's effects and passes outcomes to the entry
+ * Leads a part of the backend servers: carries out the engine's effects and passes outcomes to the entry
  * instances.
  */
 export class PoolLeader implements FleetListener {
@@ -46,6 +49,9 @@
 
   private readonly entries = new Map<InstanceName, EntryPort>();
 
+  /** When each connected entry instance opened its link, in monotonic milliseconds. */
+  private readonly entriesSince = new Map<InstanceName, number>();
+
   private readonly disconnectedEntries = new Map<InstanceName, number>();
 
   private isPassQueued = false;
@@ -60,6 +66,8 @@
 
   private loadReportedAtMs: number;
 
+  private spareReportedAtMs = 0;
+
   private startsSinceReport = 0;
 
   /**
@@ -82,7 +90,8 @@
   }
 
   adoptServer(report: ServerReport): void {
-    if (this.options.domain !== undefined && report.domain !== this.options.domain) {
+    const { part, domain } = this.options;
+    if (!isServerInPart(part, report) || (domain !== undefined && report.domain !== domain)) {
       return;
     }
     this.deregisteredServers.delete(report.id);
@@ -110,6 +119,7 @@
   /** Connects an entry instance. */
   addEntry(name: InstanceName, port: EntryPort): void {
     this.entries.set(name, port);
+    this.entriesSince.set(name, this.options.clock.now());
     this.disconnectedEntries.delete(name);
     this.engine.setOwnerSilent(name, false);
   }
@@ -118,11 +128,18 @@
   dropEntry(name: InstanceName, port: EntryPort): void {
     if (this.entries.get(name) === port) {
       this.entries.delete(name);
+      this.entriesSince.delete(name);
       this.disconnectedEntries.set(name, this.options.clock.now());
       this.engine.setOwnerSilent(name, true);
     }
   }
 
+  /** Returns whether an entry instance has been connected for at least `minMs` milliseconds. */
+  isEntryConnectedFor(name: InstanceName, minMs: number): boolean {
+    const sinceMs = this.entriesSince.get(name);
+    return sinceMs !== undefined && this.options.clock.now() - sinceMs >= minMs;
+  }
+
   /** Accepts a job from an entry instance. */
   submitJob(submission: EngineSubmission): void {
     if (submission.priorRunsExpireInMs > 0) {
@@ -162,6 +179,7 @@
     this.isClosed = true;
     clearInterval(this.ticker);
     this.options.metrics.recordLoad(undefined);
+    this.options.onClosed(this);
     this.sessions.forEach((session) => session.close());
     this.sessions.clear();
     this.entries.forEach((port) => port.endLink());
@@ -231,6 +249,10 @@
   private runTick(): void {
     const nowMs = this.options.clock.now();
     this.meter.recordTick(nowMs);
+    if (nowMs - this.spareReportedAtMs >= SPARE_REPORT_INTERVAL_MS) {
+      this.spareReportedAtMs = nowMs;
+      this.reportSpareCapacity();
+    }
     if (nowMs - this.loadReportedAtMs >= LOAD_REPORT_INTERVAL_MS) {
       this.loadReportedAtMs = nowMs;
       this.reportLoad(nowMs);
@@ -259,6 +281,17 @@
     this.runSchedulingPass();
   }
 
+  private reportSpareCapacity(): void {
+    const load = {
+      spareCpuMilli: Math.max(
+        0,
+        this.engine.fleet.computeUse().freeCpuMilli - this.engine.computeWaitingCpuMilli(),
+      ),
+      loopLagMs: this.meter.recentLagMs,
+    };
+    this.entries.forEach((port) => port.reportLoad(load));
+  }
+
   private reportLoad(nowMs: number): void {
     const load = {
       ...this.engine.computeLoad(),
@@ -267,7 +300,7 @@
     };
     this.startsSinceReport = 0;
     this.options.metrics.recordLoad(load);
-    this.options.log.info(load, 'pool load');
+    this.options.log.info({ part: this.options.part.id, ...load }, 'pool load');
   }
 
   /** Closes the session of a deregistered server once no leader can have runs there. */
@@ -295,7 +328,10 @@
     if (this.isClosed) {
       return;
     }
-    this.engine.schedule(this.options.clock.now());
+    const nowMs = this.options.clock.now();
+    this.engine.schedule(nowMs);
+    const { part, offers } = this.options;
+    this.engine.moveWaitingJobs((cpuMilli) => offers.takeCapacity(part.id, cpuMilli, nowMs), nowMs);
     this.engine.takeEffects().forEach((effect) => this.applyEffect(effect));
   }
 
@@ -316,6 +352,9 @@
       case 'report-done':
         this.entries.get(effect.owner)?.reportDone(effect.jobId, effect.task);
         return;
+      case 'move-job':
+        this.entries.get(effect.owner)?.moveJob(effect.jobId, effect.part, effect.wasMovedBefore);
+        return;
       case 'end-job':
         if (effect.owner !== undefined) {
           this.entries.get(effect.owner)?.endJob(effect.jobId, effect.outcome);
--- a/packages/instance/src/pool/pool-options.ts
+++ b/packages/instance/src/pool/pool-options.ts
@@ -1,8 +1,11 @@
 import type Logger from 'bunyan';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { PartOffers } from '@guavaspindle/kernel/layout/part-offers';
+import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
 import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { ServerApi } from '@guavaspindle/platform-adapter/servers/server-api';
+import type { FleetListener } from '../store/fleet-listener';
 import type { PoolMetrics } from './pool-metrics';
 
 /** Dependencies, limits and callbacks of a `PoolLeader`. */
@@ -10,13 +13,19 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: PoolMetrics;
-  /** The only failure domain whose servers are used; undefined for all domains. */
+  /** The servers that are led. */
+  readonly part: PoolPart;
+  /** The only failure domain whose servers are used while it is cut off; undefined otherwise. */
   readonly domain: DomainName | undefined;
   readonly fencingToken: number;
   readonly maxLeaseMs: number;
   readonly stopTimeoutMs: number;
   /** Opens a client for a server. */
   openServerClient(report: ServerReport): ServerApi;
+  /** The spare capacity of other parts. */
+  readonly offers: PartOffers;
   /** Called when a server has seen a higher token: another instance leads, or has led meanwhile. */
   onFenced(): void;
+  /** Called when the pool has been closed. */
+  onClosed(pool: FleetListener): void;
 }
--- a/packages/instance/src/process/process-load-meter.ts
+++ b/packages/instance/src/process/process-load-meter.ts
@@ -4,6 +4,8 @@
 export class ProcessLoadMeter {
   private maxLagMs = 0;
 
+  private latestLagMs = 0;
+
   private lastTickMs: number | undefined;
 
   private lastTakenMs: number;
@@ -19,10 +21,16 @@
     this.lastProcessorMs = ProcessLoadMeter.readProcessorMs();
   }
 
+  /** Delay of the timer when it last fired, in milliseconds. */
+  get recentLagMs(): number {
+    return this.latestLagMs;
+  }
+
   /** Records that the timer has fired. */
   recordTick(nowMs: number): void {
     if (this.lastTickMs !== undefined) {
-      this.maxLagMs = Math.max(this.maxLagMs, nowMs - this.lastTickMs - this.tickIntervalMs);
+      this.latestLagMs = Math.max(0, nowMs - this.lastTickMs - this.tickIntervalMs);
+      this.maxLagMs = Math.max(this.maxLagMs, this.latestLagMs);
     }
     this.lastTickMs = nowMs;
   }
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -4,10 +4,13 @@
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { ServiceName } from '@guavaspindle/kernel/ids/service-name';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import { PartOffers } from '@guavaspindle/kernel/layout/part-offers';
+import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { QueueSettings } from '@guavaspindle/kernel/engine/queue-settings';
 import { parseJob } from '@guavaspindle/platform-adapter/callers/parse-job';
@@ -45,6 +48,13 @@
 const OWNER = 'warm-up' as InstanceName;
 const SERVICE = 'warm-up' as ServiceName;
 
+const WARM_UP_PART: PoolPart = {
+  id: 'warm-up' as PartId,
+  domain: undefined,
+  index: 0,
+  count: 1,
+};
+
 const QUEUE: QueueSettings = {
   name: 'warm-up' as QueueName,
   service: SERVICE,
@@ -74,16 +84,21 @@
     clock,
     log,
     metrics: NO_METRICS,
+    part: WARM_UP_PART,
     domain: undefined,
     fencingToken: 1,
     maxLeaseMs: 1_000,
     stopTimeoutMs: 50,
     openServerClient: () => new InMemoryServer(),
+    offers: new PartOffers(),
     onFenced() {},
+    onClosed() {},
   });
   const entry: EntryPort = {
     endJob: (id) => resolveByJob.get(id)?.(),
+    moveJob() {},
     reportDone() {},
+    reportLoad() {},
     answerCancel() {},
     reportPending() {},
     reportLeaving() {},
@@ -117,6 +132,7 @@
         isResumed: false,
         priorRunsExpireInMs: 0,
         mayRunOnUnknownServers: false,
+        isMoved: false,
       };
       await new Promise<void>((resolve) => {
         resolveByJob.set(id, resolve);
--- a/packages/instance/src/registry/instance-registry.ts
+++ b/packages/instance/src/registry/instance-registry.ts
@@ -1,5 +1,8 @@
 import type Logger from 'bunyan';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import type { PoolLayout } from '@guavaspindle/kernel/layout/pool-layout';
 import type { StoreClient } from '@guavaspindle/platform-adapter/store/store-client';
 import type { StoreEvent } from '@guavaspindle/platform-adapter/store/store-event';
 import type { StoreItem } from '@guavaspindle/platform-adapter/store/store-item';
@@ -7,17 +10,23 @@
 import type { MirrorListener } from '../store/mirror-listener';
 import type { RegisteredInstance } from './registered-instance';
 import type { LeadershipClaim } from './leadership-claim';
+import { parseLayout } from './parse-layout';
 import { parseRegisteredInstance } from './parse-registered-instance';
 
 const PREFIX = 'guavaspindle/';
-const LEADER_KEY = `${PREFIX}leader`;
+const LEADERS_PREFIX = `${PREFIX}leaders/`;
+const LAYOUT_KEY = `${PREFIX}layout`;
 const INSTANCES_PREFIX = `${PREFIX}instances/`;
 
-/** The records of this system in the platform's store: the leadership claim and the instances. */
+/** The records of this system in the platform's store: leadership claims, instances and the layout. */
 export class InstanceRegistry implements MirrorListener {
   static readonly prefix = PREFIX;
 
-  private claim: LeadershipClaim | undefined;
+  private readonly claims = new Map<PartId, LeadershipClaim>();
+
+  private layout: PoolLayout = new Map<DomainName, number>();
+
+  private layoutRevision = 0;
 
   private readonly instances = new Map<InstanceName, RegisteredInstance>();
 
@@ -39,9 +48,26 @@
     return this.isRead;
   }
 
-  /** The latest known claim; undefined if no instance has claimed the leadership. */
-  findClaim(): LeadershipClaim | undefined {
-    return this.claim;
+  /** The latest known claim of a part; undefined if no instance has claimed its leadership. */
+  findClaim(part: PartId): LeadershipClaim | undefined {
+    return this.claims.get(part);
+  }
+
+  /** The latest known layout; a single part until one has been written. */
+  findLayout(): PoolLayout {
+    return this.layout;
+  }
+
+  /** Writes a layout unless another instance has written one since; the mirror reports the result. */
+  async writeLayout(layout: PoolLayout): Promise<void> {
+    const written = await this.store.commitWrite({
+      key: LAYOUT_KEY,
+      text: JSON.stringify(Object.fromEntries(layout)),
+      expectedRevision: this.layoutRevision,
+    });
+    if (written.isErr()) {
+      this.log.warn({ failure: written.error }, 'could not write the layout to the store');
+    }
   }
 
   /** The other instances, sorted by name. */
@@ -52,11 +78,11 @@
   }
 
   /**
-   * The fallback fencing token for this instance's own failure domain, higher than the leader's
-   * token; undefined until this instance's record has been written after the leader's claim.
+   * The fallback fencing token for a part in this instance's own failure domain, higher than the
+   * leader's token; undefined until this instance's record has been written after the leader's claim.
    */
-  findFallbackToken(): number | undefined {
-    return this.ownRecordRevision > (this.claim?.revision ?? 0)
+  findFallbackToken(part: PartId): number | undefined {
+    return this.ownRecordRevision > (this.claims.get(part)?.revision ?? 0)
       ? this.ownRecordRevision
       : undefined;
   }
@@ -130,37 +156,42 @@
   }
 
   /**
-   * Claims the leadership, unless another instance has claimed it since the latest known claim.
+   * Claims the leadership of a part, unless another instance has claimed it since the latest known
+   * claim.
    *
    * @returns the new claim if this instance leads now; undefined if it does not or the result is
    * unknown
    */
-  async claimLeadership(): Promise<LeadershipClaim | undefined> {
-    const expectedRevision = this.claim?.revision ?? 0;
+  async claimLeadership(part: PartId): Promise<LeadershipClaim | undefined> {
+    const expectedRevision = this.claims.get(part)?.revision ?? 0;
     const written = await this.store.commitWrite({
-      key: LEADER_KEY,
+      key: LEADERS_PREFIX + part,
       text: JSON.stringify(this.self),
       expectedRevision,
     });
     if (written.isOk() && written.value.kind === 'written') {
-      this.applyClaim({ leader: this.self, revision: written.value.revision });
+      this.applyClaim(part, { leader: this.self, revision: written.value.revision });
     } else {
       // Another instance wrote its claim first, or the reply was lost after the write.
       await this.readNow();
     }
-    const claim = this.findClaim();
+    const claim = this.findClaim(part);
     const isNew = claim !== undefined && claim.revision !== expectedRevision;
     return isNew && claim.leader.incarnation === this.self.incarnation ? claim : undefined;
   }
 
   private applyItem({ key, text, revision }: StoreItem): void {
+    if (key === LAYOUT_KEY) {
+      this.applyLayout(text, revision);
+      return;
+    }
     const instance = parseRegisteredInstance(text);
     if (instance === undefined) {
       this.log.warn({ key, revision }, 'ignoring an invalid instance record in the store');
       return;
     }
-    if (key === LEADER_KEY) {
-      this.applyClaim({ leader: instance, revision });
+    if (key.startsWith(LEADERS_PREFIX)) {
+      this.applyClaim(key.slice(LEADERS_PREFIX.length) as PartId, { leader: instance, revision });
     } else if (key.startsWith(INSTANCES_PREFIX)) {
       this.instances.set(instance.name, instance);
       if (instance.incarnation === this.self.incarnation) {
@@ -169,9 +200,19 @@
     }
   }
 
-  private applyClaim(claim: LeadershipClaim): void {
-    if (claim.revision > (this.claim?.revision ?? 0)) {
-      this.claim = claim;
+  private applyClaim(part: PartId, claim: LeadershipClaim): void {
+    if (claim.revision > (this.claims.get(part)?.revision ?? 0)) {
+      this.claims.set(part, claim);
+    }
+  }
+
+  private applyLayout(text: string, revision: number): void {
+    const layout = parseLayout(text);
+    if (layout === undefined) {
+      this.log.error({ revision }, 'ignoring an invalid layout in the store');
+    } else if (revision > this.layoutRevision) {
+      this.layout = layout;
+      this.layoutRevision = revision;
     }
   }
 }
--- a/packages/instance/src/registry/parse-registered-instance.ts
+++ b/packages/instance/src/registry/parse-registered-instance.ts
@@ -5,6 +5,7 @@
   name: z.string().min(1),
   domain: z.string().min(1),
   incarnation: z.string().min(1),
+  cores: z.number().nonnegative(),
   address: z.string().regex(/^[^\s:]+:\d{1,5}$/),
 });
 
--- a/packages/instance/src/registry/registered-instance.ts
+++ b/packages/instance/src/registry/registered-instance.ts
@@ -7,6 +7,8 @@
   readonly name: InstanceName;
   readonly domain: DomainName;
   readonly incarnation: IncarnationId;
+  /** Processor capacity of the machine, in cores. */
+  readonly cores: number;
   /** `host:port` at which the instance serves the protocol between instances. */
   readonly address: string;
 }
--- a/packages/instance/src/store/fleet-mirror.ts
+++ b/packages/instance/src/store/fleet-mirror.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { parseServerEntry } from '@guavaspindle/platform-adapter/servers/parse-server-entry';
@@ -16,7 +17,7 @@
  */
 const MISSING_ENTRY_GRACE_MS = 2_500;
 
-/** Mirrors the backend servers' entries in the store and passes changes to a listener. */
+/** Mirrors the backend servers' entries in the store and passes changes to listeners. */
 export class FleetMirror implements MirrorListener {
   private readonly reports = new Map<ServerId, ServerReport>();
 
@@ -25,17 +26,29 @@
 
   private readonly ignoredKeys = new Set<string>();
 
-  private listener: FleetListener | undefined;
+  private readonly listeners = new Set<FleetListener>();
 
   constructor(
     private readonly clock: Clock,
     private readonly log: Logger,
   ) {}
 
-  /** Passes all known servers and every later change to the listener; undefined removes it. */
-  setListener(listener: FleetListener | undefined): void {
-    this.listener = listener;
-    this.reports.forEach((report) => listener?.adoptServer(report));
+  /** Passes all known servers and every later change to a listener. */
+  addListener(listener: FleetListener): void {
+    this.listeners.add(listener);
+    this.reports.forEach((report) => listener.adoptServer(report));
+  }
+
+  /** Passes no more changes to a listener. */
+  dropListener(listener: FleetListener): void {
+    this.listeners.delete(listener);
+  }
+
+  /** Counts the known servers by failure domain. */
+  countServers(): ReadonlyMap<DomainName, number> {
+    const counts = new Map<DomainName, number>();
+    this.reports.forEach(({ domain }) => counts.set(domain, (counts.get(domain) ?? 0) + 1));
+    return counts;
   }
 
   onSnapshot({ items }: StoreSnapshot): void {
@@ -65,7 +78,7 @@
         this.missingSince.delete(id);
         this.reports.delete(id);
         this.log.info({ server: id }, 'server dropped: its entry has not come back to the store');
-        this.listener?.dropServer(id);
+        this.listeners.forEach((listener) => listener.dropServer(id));
       }
     });
   }
@@ -90,7 +103,7 @@
     const known = this.reports.get(id);
     this.reports.set(id, report);
     if (known === undefined || JSON.stringify(known) !== JSON.stringify(report)) {
-      this.listener?.adoptServer(report);
+      this.listeners.forEach((listener) => listener.adoptServer(report));
     }
     return id;
   }
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -1,7 +1,11 @@
 import { createLogger } from 'bunyan';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import { chooseHomePart } from '@guavaspindle/kernel/layout/choose-home-part';
+import { listParts } from '@guavaspindle/kernel/layout/list-parts';
 import { systemClock } from '@guavaspindle/kernel/time/system-clock';
 import { EntryJobs } from '../src/entry/entry-jobs';
 import type { LeaderPort } from '../src/links/leader-port';
@@ -10,16 +14,22 @@
 
 const NEVER = new Promise<void>(() => {});
 
-/** Builds an `EntryJobs` without a leader. */
+const ALL = 'all' as PartId;
+
+/** Builds an `EntryJobs` of a single part, without a leader. */
 function buildEntry(hasRecentStoreFailure = false): EntryJobs {
-  return new EntryJobs({
+  const entry = new EntryJobs({
     clock: systemClock,
     log: createLogger({ name: 'test', level: 'fatal' }),
     metrics: { recordStart() {}, recordLeaseRenewal() {}, recordLoad() {}, recordJob() {} },
     findConfiguration: () => undefined,
     hasRecentStoreFailure: () => hasRecentStoreFailure,
+    domain: 'domain-1' as DomainName,
     onLeaderLeaving() {},
+    onLoad() {},
   });
+  entry.setParts(listParts(new Map()));
+  return entry;
 }
 
 /** Builds a leader that records submitted jobs and dropped callers. */
@@ -50,10 +60,10 @@
   it('answers every connection on which a job was sent, but submits the job once', async () => {
     const entry = buildEntry();
     const leader = buildLeader();
-    entry.setLeader(leader);
+    entry.setLeader(ALL, leader);
     const { spec } = buildJobSubmission();
     const answers = [entry.runJob(spec, 2_000, NEVER), entry.runJob(spec, 2_000, NEVER)];
-    entry.endJob(spec.id, { kind: 'completed' });
+    entry.buildPort(ALL).endJob(spec.id, { kind: 'completed' });
     expect(await Promise.all(answers)).toEqual([{ kind: 'completed' }, { kind: 'completed' }]);
     expect(leader.submissions).toHaveLength(1);
   });
@@ -61,15 +71,15 @@
   it('tells a new leader which tasks are done and how long prior runs may stay alive', async () => {
     const entry = buildEntry();
     const first = buildLeader();
-    entry.setLeader(first);
+    entry.setLeader(ALL, first);
     const { spec } = buildJobSubmission({ taskCount: 2 });
     void entry.runJob(spec, 9_000, NEVER);
     const task = `${spec.id}.0.0.1` as TaskId;
-    entry.reportDone(spec.id, task);
-    entry.setLeader(undefined);
+    entry.buildPort(ALL).reportDone(spec.id, task);
+    entry.setLeader(ALL, undefined);
     await jest.advanceTimersByTimeAsync(400);
     const second = buildLeader();
-    entry.setLeader(second);
+    entry.setLeader(ALL, second);
     expect(second.submissions[0]).toMatchObject({ isResumed: true, ageMs: 400 });
     expect(second.submissions[0]!.doneTasks).toEqual(new Set([task]));
     expect(second.submissions[0]!.priorRunsExpireInMs).toBe(linkTiming.priorRunLifetimeMs - 400);
@@ -77,36 +87,36 @@
 
   it('restarts the prior-run lifetime at each loss of a leader, as each leader has its own runs', async () => {
     const entry = buildEntry();
-    entry.setLeader(buildLeader());
+    entry.setLeader(ALL, buildLeader());
     const { spec } = buildJobSubmission();
     void entry.runJob(spec, 20_000, NEVER);
-    entry.setLeader(undefined);
+    entry.setLeader(ALL, undefined);
     await jest.advanceTimersByTimeAsync(500);
-    entry.setLeader(buildLeader());
+    entry.setLeader(ALL, buildLeader());
     await jest.advanceTimersByTimeAsync(6_000);
-    entry.setLeader(undefined);
+    entry.setLeader(ALL, undefined);
     const third = buildLeader();
-    entry.setLeader(third);
+    entry.setLeader(ALL, third);
     expect(third.submissions[0]!.priorRunsExpireInMs).toBe(linkTiming.priorRunLifetimeMs);
   });
 
   it('tells the next leader that runs of a cut-off domain’s leader may be on unknown servers', () => {
     const entry = buildEntry();
-    entry.setLeader(buildLeader(true));
+    entry.setLeader(ALL, buildLeader(true));
     void entry.runJob(buildJobSubmission().spec, 20_000, NEVER);
-    entry.setLeader(undefined);
+    entry.setLeader(ALL, undefined);
     const second = buildLeader();
-    entry.setLeader(second);
+    entry.setLeader(ALL, second);
     expect(second.submissions[0]).toMatchObject({ isResumed: true, mayRunOnUnknownServers: true });
   });
 
   it('tells it the same after a store failure, as the lost leader may have been cut off too', () => {
     const entry = buildEntry(true);
-    entry.setLeader(buildLeader());
+    entry.setLeader(ALL, buildLeader());
     void entry.runJob(buildJobSubmission().spec, 20_000, NEVER);
-    entry.setLeader(undefined);
+    entry.setLeader(ALL, undefined);
     const second = buildLeader();
-    entry.setLeader(second);
+    entry.setLeader(ALL, second);
     expect(second.submissions[0]).toMatchObject({ isResumed: true, mayRunOnUnknownServers: true });
   });
 
@@ -115,7 +125,7 @@
     ['reports the outcome of a job that a leader has received as unknown', true, 'unknown'],
   ])('%s', async (_name, hasLeader, kind) => {
     const entry = buildEntry();
-    entry.setLeader(hasLeader ? buildLeader() : undefined);
+    entry.setLeader(ALL, hasLeader ? buildLeader() : undefined);
     const outcome = entry.runJob(buildJobSubmission().spec, 2_000, NEVER);
     await jest.advanceTimersByTimeAsync(2_100);
     expect((await outcome).kind).toBe(kind);
@@ -125,10 +135,126 @@
   it('drops a job when its last caller has left', async () => {
     const entry = buildEntry();
     const leader = buildLeader();
-    entry.setLeader(leader);
+    entry.setLeader(ALL, leader);
     const { spec } = buildJobSubmission();
     void entry.runJob(spec, 2_000, Promise.resolve());
     await jest.advanceTimersByTimeAsync(1);
     expect(leader.drops).toEqual([spec.id]);
   });
 });
+
+describe('EntryJobs with several parts', () => {
+  const DOMAIN = 'domain-1' as DomainName;
+  const LAYOUT = new Map([
+    [DOMAIN, 2],
+    ['domain-2' as DomainName, 1],
+  ]);
+  const PARTS = listParts(LAYOUT);
+  const REMOTE = PARTS[2]!.id;
+  const { spec } = buildJobSubmission();
+  const HOME = chooseHomePart(PARTS, DOMAIN, spec.id)!.id;
+  const SIBLING = PARTS.find(({ id }) => id !== HOME && id !== REMOTE)!.id;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  /** Builds an entry with a leader for each of the given parts. */
+  function buildParts(linked: readonly PartId[]) {
+    const entry = buildEntry();
+    entry.setParts(PARTS);
+    const leaders = new Map(linked.map((part) => [part, buildLeader()]));
+    leaders.forEach((leader, part) => entry.setLeader(part, leader));
+    return { entry, leaders };
+  }
+
+  it('submits a job to its home part', () => {
+    const { entry, leaders } = buildParts([REMOTE, SIBLING, HOME]);
+    void entry.runJob(spec, 2_000, NEVER);
+    expect(leaders.get(HOME)!.submissions).toHaveLength(1);
+    expect(leaders.get(SIBLING)!.submissions).toHaveLength(0);
+  });
+
+  it.each([
+    ['the other part of the domain', [REMOTE, SIBLING], SIBLING],
+    ['a part of another domain', [REMOTE], REMOTE],
+  ])('submits a job to %s while its home part has no leader', (_name, linked, expected) => {
+    const { entry, leaders } = buildParts(linked);
+    void entry.runJob(spec, 2_000, NEVER);
+    expect(leaders.get(expected)!.submissions).toHaveLength(1);
+  });
+
+  it('submits a moved job as one that has not started anywhere', () => {
+    const { entry, leaders } = buildParts([HOME, REMOTE]);
+    void entry.runJob(spec, 2_000, NEVER);
+    entry.buildPort(HOME).moveJob(spec.id, REMOTE, false);
+    expect(leaders.get(REMOTE)!.submissions).toMatchObject([{ isMoved: true, isResumed: false }]);
+  });
+
+  it('ignores what an earlier part says of a moved job', async () => {
+    const { entry } = buildParts([HOME, REMOTE]);
+    const answer = entry.runJob(spec, 2_000, NEVER);
+    entry.buildPort(HOME).moveJob(spec.id, REMOTE, false);
+    entry.buildPort(HOME).endJob(spec.id, { kind: 'cancelled' });
+    entry.buildPort(REMOTE).endJob(spec.id, { kind: 'completed' });
+    expect(await answer).toEqual({ kind: 'completed' });
+  });
+
+  // Guards against "not run" for a job of which an earlier copy may have started elsewhere.
+  it.each<[string, boolean, JobOutcome['kind']]>([
+    ['not run if it is moved for the first time', false, 'not-run'],
+    ['unknown if an earlier copy was moved there', true, 'unknown'],
+  ])('reports a job whose target cannot be reached as %s', async (_name, before, kind) => {
+    const { entry } = buildParts([HOME]);
+    const answer = entry.runJob(spec, 2_000, NEVER);
+    entry.buildPort(HOME).moveJob(spec.id, REMOTE, before);
+    expect((await answer).kind).toBe(kind);
+  });
+
+  it('tries every part before it reports that no server can run the job', async () => {
+    const { entry, leaders } = buildParts([HOME, SIBLING, REMOTE]);
+    const answer = entry.runJob(spec, 2_000, NEVER);
+    const outcome = { kind: 'not-run', reason: 'r', retryAfterMs: 1, isUnservable: true } as const;
+    [HOME, SIBLING, REMOTE].forEach((part) => entry.buildPort(part).endJob(spec.id, outcome));
+    expect(await answer).toEqual(outcome);
+    leaders.forEach(({ submissions }) => expect(submissions).toHaveLength(1));
+  });
+
+  it('waits for the next leader of a part that may have started the job', () => {
+    const { entry, leaders } = buildParts([HOME, SIBLING]);
+    void entry.runJob(spec, 2_000, NEVER);
+    entry.setLeader(HOME, undefined);
+    expect(leaders.get(SIBLING)!.submissions).toHaveLength(0);
+    const next = buildLeader();
+    entry.setLeader(HOME, next);
+    expect(next.submissions).toMatchObject([{ isResumed: true, mayRunOnUnknownServers: false }]);
+  });
+
+  it('submits the jobs of a part that no longer exists as ones with runs on unknown servers', () => {
+    const entry = buildEntry();
+    entry.setLeader(ALL, buildLeader());
+    void entry.runJob(spec, 2_000, NEVER);
+    entry.setLeader(ALL, undefined);
+    entry.setParts(PARTS);
+    const leader = buildLeader();
+    entry.setLeader(HOME, leader);
+    expect(leader.submissions).toMatchObject([{ isResumed: true, mayRunOnUnknownServers: true }]);
+    expect(leader.submissions[0]!.priorRunsExpireInMs).toBe(linkTiming.priorRunLifetimeMs);
+  });
+
+  it.each([
+    ['known if any part knows it', [false, true], true],
+    ['unknown if no part knows it', [false, false], false],
+  ])('answers a cancellation of a job elsewhere as %s', async (_name, answers, expected) => {
+    const { entry } = buildParts([HOME, REMOTE]);
+    const answer = entry.cancelJob(spec.id);
+    [HOME, REMOTE].forEach((part, index) =>
+      entry.buildPort(part).answerCancel(spec.id, answers[index]!),
+    );
+    expect(await answer).toBe(expected);
+  });
+});
--- a/packages/instance/tests/large-fleet.test.ts
+++ b/packages/instance/tests/large-fleet.test.ts
@@ -25,10 +25,10 @@
   let cluster: TestCluster;
 
   beforeEach(async () => {
-    cluster = new TestCluster();
+    cluster = new TestCluster(78);
     await cluster.startPlatform(SERVERS, DOMAINS);
     for (const number of INSTANCES) {
-      await cluster.startInstance(number, DOMAINS[number % DOMAINS.length]);
+      await cluster.startInstance(number, { domain: DOMAINS[number % DOMAINS.length] });
     }
     await pause(SETTLE_MS);
   });
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- the tests check after each step of the clock */
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import { buildJobSubmission } from './fixtures/build-job-submission';
@@ -428,3 +429,77 @@
     pool.close();
   });
 });
+
+describe('a leader of a part that has no room', () => {
+  const OTHER = 'other' as PartId;
+
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  /** Builds a pool whose only server is full, beside a part with spare capacity. */
+  async function buildFullPool(spareCpuMilli: number) {
+    const server = new FakeServer();
+    server.runBehavior = { durationMs: 400, how: 'done' };
+    const built = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    built.pool.submitJob(buildJobSubmission({ number: 1, taskCount: 2 }));
+    await jest.advanceTimersByTimeAsync(20);
+    built.offers.recordLoad(OTHER, { spareCpuMilli, loopLagMs: 0 }, performance.now());
+    return { ...built, server };
+  }
+
+  it('sends a waiting job on to a part that has room, and starts nothing of it', async () => {
+    const { pool, entry, server } = await buildFullPool(200_000);
+    const job = buildJobSubmission({ number: 2, taskCount: 2 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(entry.moves).toEqual([{ job: job.spec.id, part: OTHER, before: false }]);
+    expect(server.starts).toHaveLength(2);
+    pool.close();
+  });
+
+  it('sends later copies of a moved job to the same part', async () => {
+    const { pool, entry, server } = await buildFullPool(200_000);
+    const job = buildJobSubmission({ number: 2, taskCount: 2 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(1_000);
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(100);
+    expect(entry.moves.at(-1)).toEqual({ job: job.spec.id, part: OTHER, before: true });
+    expect(server.starts).toHaveLength(2);
+    pool.close();
+  });
+
+  it.each([
+    ['has started', { number: 2, taskCount: 3 }, 30],
+    ['is resumed', { number: 2, changes: RESUMED }, 600],
+    ['was moved here', { number: 2, changes: { isMoved: true } }, 600],
+  ])('keeps a job that %s', async (_name, options, offeredAfterMs) => {
+    const servers = [new FakeServer()];
+    servers[0]!.runBehavior = { durationMs: 300, how: 'done' };
+    const { pool, entry, offers } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildJobSubmission(options));
+    await jest.advanceTimersByTimeAsync(offeredAfterMs);
+    offers.recordLoad(OTHER, { spareCpuMilli: 900_000, loopLagMs: 0 }, performance.now());
+    await jest.advanceTimersByTimeAsync(3_000);
+    expect(entry.moves).toEqual([]);
+    expect(entry.outcomes.size).toBe(1);
+    pool.close();
+  });
+
+  it('reports the capacity that no run and no waiting task needs', async () => {
+    const { pool, entry } = buildPool([new FakeServer(), new FakeServer()]);
+    await jest.advanceTimersByTimeAsync(150);
+    expect(entry.load?.spareCpuMilli).toBe(128_000);
+    pool.submitJob(buildJobSubmission({ taskCount: 9 }));
+    await jest.advanceTimersByTimeAsync(130);
+    expect(entry.load?.spareCpuMilli).toBe(0);
+    pool.close();
+  });
+});
--- /dev/null
+++ b/packages/instance/tests/unequal-instances.test.ts
@@ -0,0 +1,51 @@
+import { TestCluster } from './fixtures/test-cluster';
+
+const SMALL = 1;
+const LARGE = 2;
+const OTHER_LARGE = 3;
+const POLL_MS = 50;
+
+/** Waits until an instance leads, or until the time has passed; returns the leader's name. */
+async function waitForLeader(
+  cluster: TestCluster,
+  name: string,
+  timeoutMs: number,
+): Promise<string> {
+  const endMs = performance.now() + timeoutMs;
+  while (cluster.findLeader('all') !== name && performance.now() < endMs) {
+    // eslint-disable-next-line no-await-in-loop -- polls the claim
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+  return cluster.findLeader('all') ?? '';
+}
+
+// Guards against leadership in the order of names, which gave all servers to the smallest machines.
+describe('instances of unequal processor capacity', () => {
+  let cluster: TestCluster;
+
+  beforeEach(async () => {
+    cluster = new TestCluster(79);
+    await cluster.startPlatform(4);
+  });
+
+  afterEach(async () => {
+    await cluster.close();
+  });
+
+  it('hand the leadership to a large instance that comes up after a small one', async () => {
+    await cluster.startInstance(SMALL, { cores: 0.3 });
+    expect(cluster.findLeader('all')).toBe('instance-1');
+    await cluster.startInstance(LARGE, { cores: 1.4 });
+    expect(await waitForLeader(cluster, 'instance-2', 8_000)).toBe('instance-2');
+  });
+
+  it('let a large instance take over from one that shuts down', async () => {
+    await cluster.startInstance(LARGE, { cores: 1.4 });
+    await cluster.startInstance(SMALL, { cores: 0.3 });
+    await cluster.startInstance(OTHER_LARGE, { cores: 1.4 });
+    await cluster.stopInstance(LARGE);
+    expect(await waitForLeader(cluster, 'instance-3', 2_000)).toBe('instance-3');
+  });
+});
--- a/packages/kernel/src/engine/build-engine-job.ts
+++ b/packages/kernel/src/engine/build-engine-job.ts
@@ -37,6 +37,7 @@
     remainingTasks: remainingByStep.reduce((sum, count) => sum + count, 0),
     runningTasks: 0,
     mayRunOnUnknownServers: submission.mayRunOnUnknownServers,
+    isMovable: !submission.isMoved && !submission.isResumed,
     hasStarted: submission.isResumed || doneTasks.size > 0,
   };
 }
--- a/packages/kernel/src/engine/engine-effect.ts
+++ b/packages/kernel/src/engine/engine-effect.ts
@@ -1,5 +1,6 @@
 import type { InstanceName } from '../ids/instance-name';
 import type { JobId } from '../ids/job-id';
+import type { PartId } from '../ids/part-id';
 import type { ServerId } from '../ids/server-id';
 import type { TaskId } from '../ids/task-id';
 import type { JobOutcome } from './job-outcome';
@@ -30,6 +31,15 @@
       readonly task: TaskId;
       readonly run: number;
     }
+  /** Tells the instance that owns the job to submit it to the leader of another part. */
+  | {
+      readonly kind: 'move-job';
+      readonly owner: InstanceName;
+      readonly jobId: JobId;
+      readonly part: PartId;
+      /** True if an earlier submission of the job was moved there, so that it may have run. */
+      readonly wasMovedBefore: boolean;
+    }
   | {
       readonly kind: 'end-job';
       readonly owner: InstanceName | undefined;
--- a/packages/kernel/src/engine/engine-job.ts
+++ b/packages/kernel/src/engine/engine-job.ts
@@ -23,6 +23,8 @@
    * No server list proves that they have ended; tasks wait until the runs have expired.
    */
   readonly mayRunOnUnknownServers: boolean;
+  /** True if the job may be sent on to another part as long as it has not started. */
+  readonly isMovable: boolean;
   /** True once a run was started, by this leader or an earlier one. */
   hasStarted: boolean;
 }
--- a/packages/kernel/src/engine/engine-submission.ts
+++ b/packages/kernel/src/engine/engine-submission.ts
@@ -16,4 +16,6 @@
   readonly priorRunsExpireInMs: number;
   /** True if those runs may be on servers that this leader does not know. */
   readonly mayRunOnUnknownServers: boolean;
+  /** True if the leader of another part has sent the job on; it is not moved a second time. */
+  readonly isMoved: boolean;
 }
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -1,5 +1,6 @@
 import type { InstanceName } from '../ids/instance-name';
 import type { JobId } from '../ids/job-id';
+import type { PartId } from '../ids/part-id';
 import type { ServerId } from '../ids/server-id';
 import type { TaskId } from '../ids/task-id';
 import { buildEngineJob } from './build-engine-job';
@@ -12,6 +13,7 @@
 import { CompletedTaskCache } from './completed-task-cache';
 import type { EngineSubmission } from './engine-submission';
 import type { JobOutcome } from './job-outcome';
+import type { RememberedOutcome } from './remembered-outcome';
 import type { PoolLoad } from './pool-load';
 import { RecentOutcomes } from './recent-outcomes';
 import type { RunEnd } from './run-end';
@@ -37,10 +39,33 @@
 /**
  * Returns whether a job that ended with this outcome may run when it is submitted again. With an
  * unknown outcome it always may. A refused job may only if its caller submitted it anew; a resumed
- * submission is a copy of the refused one, so it stays refused.
+ * submission is a copy of the refused one, so it stays refused. A job that was sent on to another part
+ * stays there unless that part sends it back.
  */
-function isNewAttempt(outcome: JobOutcome, isResumed: boolean): boolean {
-  return outcome.kind === 'unknown' || (outcome.kind === 'not-run' && !isResumed);
+function isNewAttempt(outcome: RememberedOutcome, submission: EngineSubmission): boolean {
+  switch (outcome.kind) {
+    case 'unknown':
+      return true;
+    case 'not-run':
+      return !submission.isResumed;
+    case 'moved':
+      return submission.isMoved;
+    case 'completed':
+    case 'failed':
+    case 'cancelled':
+    case 'abandoned':
+      return false;
+    default:
+      return outcome satisfies never;
+  }
+}
+
+/** Computes the CPU capacity that the remaining tasks of a job need, in thousandths of a core. */
+function computeRemainingCpuMilli({ spec, remainingByStep }: EngineJob): number {
+  return spec.steps.reduce(
+    (sum, { demand }, index) => sum + demand.cpuMilli * remainingByStep[index]!,
+    0,
+  );
 }
 
 /** Records a run as the one in progress for its task. */
@@ -107,8 +132,18 @@
       return;
     }
     const outcome = this.outcomes.findOutcome(spec.id);
-    if (outcome !== undefined && !isNewAttempt(outcome, submission.isResumed)) {
-      this.effects.push({ kind: 'end-job', owner, jobId: spec.id, outcome });
+    if (outcome !== undefined && !isNewAttempt(outcome, submission)) {
+      this.effects.push(
+        outcome.kind === 'moved'
+          ? {
+              kind: 'move-job',
+              owner,
+              jobId: spec.id,
+              part: outcome.part,
+              wasMovedBefore: true,
+            }
+          : { kind: 'end-job', owner, jobId: spec.id, outcome },
+      );
       return;
     }
     const reportedTasks = this.completedTasks.takeTasks(spec.id);
@@ -119,7 +154,7 @@
     if (job.remainingTasks === 0) {
       this.endJob(job, { kind: 'completed' }, nowMs);
     } else if (!job.hasStarted && !this.canEverRun(job)) {
-      this.refuseJob(job, 'no server has the capacity or the label', nowMs);
+      this.refuseJob(job, 'no server has the capacity or the label', nowMs, true);
     }
   }
 
@@ -128,7 +163,7 @@
     const job = this.jobs.get(id);
     if (job === undefined) {
       const outcome = this.outcomes.findOutcome(id);
-      if (outcome?.kind === 'not-run' || outcome?.kind === 'unknown') {
+      if (outcome?.kind === 'not-run' || outcome?.kind === 'unknown' || outcome?.kind === 'moved') {
         // The job may be submitted again; it must not start then.
         this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
       }
@@ -307,6 +342,39 @@
     }
   }
 
+  /**
+   * Sends waiting jobs on to other parts. Only jobs of which certainly nothing has started move.
+   *
+   * @param takeCapacity - reserves capacity at another part; undefined if no part has enough
+   */
+  moveWaitingJobs(takeCapacity: (cpuMilli: number) => PartId | undefined, nowMs: number): void {
+    this.jobs.forEach((job) => {
+      const { owner } = job;
+      if (job.hasStarted || !job.isMovable || owner === undefined || this.isOwnerSilent(job)) {
+        return;
+      }
+      const part = takeCapacity(computeRemainingCpuMilli(job));
+      if (part !== undefined) {
+        const { id } = job.spec;
+        this.jobs.delete(id);
+        this.outcomes.recordOutcome(id, { kind: 'moved', part }, nowMs);
+        this.effects.push({ kind: 'move-job', owner, jobId: id, part, wasMovedBefore: false });
+      }
+    });
+  }
+
+  /** Computes the CPU capacity that the waiting tasks need, in thousandths of a core. */
+  computeWaitingCpuMilli(): number {
+    let waitingMilli = 0;
+    this.jobs.forEach((job) => {
+      if (job.remainingTasks > job.runningTasks) {
+        const share = (job.remainingTasks - job.runningTasks) / job.remainingTasks;
+        waitingMilli += share * computeRemainingCpuMilli(job);
+      }
+    });
+    return waitingMilli;
+  }
+
   /** Counts the jobs of a queue that have not started. */
   countPending(queue: string): number {
     return [...this.jobs.values()].filter((job) => job.spec.queue.name === queue && !job.hasStarted)
@@ -427,8 +495,14 @@
     }
   }
 
-  private refuseJob(job: EngineJob, reason: string, nowMs: number): void {
-    this.endJob(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS }, nowMs);
+  private refuseJob(job: EngineJob, reason: string, nowMs: number, isUnservable = false): void {
+    const outcome = {
+      kind: 'not-run',
+      reason,
+      retryAfterMs: RETRY_AFTER_MS,
+      isUnservable,
+    } as const;
+    this.endJob(job, outcome, nowMs);
   }
 
   private endJob(
--- a/packages/kernel/src/engine/job-outcome.ts
+++ b/packages/kernel/src/engine/job-outcome.ts
@@ -7,7 +7,13 @@
   /** The caller cancelled it. */
   | { readonly kind: 'cancelled' }
   /** No task was started, and none will be. */
-  | { readonly kind: 'not-run'; readonly reason: string; readonly retryAfterMs: number }
+  | {
+      readonly kind: 'not-run';
+      readonly reason: string;
+      readonly retryAfterMs: number;
+      /** True if no server of the leader that refused the job could ever run it. */
+      readonly isUnservable?: boolean;
+    }
   /** Some tasks have run; the rest was abandoned because it could not end in useful time. */
   | { readonly kind: 'abandoned'; readonly reason: string }
   /** Some tasks may have run; how the job ended is not known. */
--- a/packages/kernel/src/engine/recent-outcomes.ts
+++ b/packages/kernel/src/engine/recent-outcomes.ts
@@ -1,8 +1,8 @@
 import type { JobId } from '../ids/job-id';
-import type { JobOutcome } from './job-outcome';
+import type { RememberedOutcome } from './remembered-outcome';
 
 interface RecentOutcome {
-  readonly outcome: JobOutcome;
+  readonly outcome: RememberedOutcome;
   readonly endedAtMs: number;
 }
 
@@ -13,7 +13,7 @@
   constructor(private readonly retentionMs: number) {}
 
   /** Records an outcome and evicts those older than the retention period. */
-  recordOutcome(id: JobId, outcome: JobOutcome, nowMs: number): void {
+  recordOutcome(id: JobId, outcome: RememberedOutcome, nowMs: number): void {
     this.outcomes.delete(id);
     this.outcomes.set(id, { outcome, endedAtMs: nowMs });
     for (const [oldestId, oldest] of this.outcomes) {
@@ -25,7 +25,7 @@
   }
 
   /** Finds the outcome of a job that ended recently. */
-  findOutcome(id: JobId): JobOutcome | undefined {
+  findOutcome(id: JobId): RememberedOutcome | undefined {
     return this.outcomes.get(id)?.outcome;
   }
 }
--- /dev/null
+++ b/packages/kernel/src/layout/pool-part.ts
@@ -0,0 +1,13 @@
+import type { DomainName } from '../ids/domain-name';
+import type { PartId } from '../ids/part-id';
+
+/** A part of the backend servers; one instance leads it. */
+export interface PoolPart {
+  readonly id: PartId;
+  /** The failure domain of the part's servers; undefined for a part that spans all domains. */
+  readonly domain: DomainName | undefined;
+  /** Position among the parts of the same failure domain, from 0. */
+  readonly index: number;
+  /** Number of parts of that failure domain. */
+  readonly count: number;
+}
--- a/packages/kernel/tests/abandoned-jobs.test.ts
+++ b/packages/kernel/tests/abandoned-jobs.test.ts
@@ -39,6 +39,7 @@
     isResumed: false,
     priorRunsExpireInMs: 0,
     mayRunOnUnknownServers: false,
+    isMoved: false,
     spec: {
       id: number.toString(16).padStart(16, '0') as JobId,
       specification: '',
--- a/packages/kernel/tests/job-engine.property.test.ts
+++ b/packages/kernel/tests/job-engine.property.test.ts
@@ -173,6 +173,7 @@
         isResumed: false,
         priorRunsExpireInMs: 0,
         mayRunOnUnknownServers: false,
+        isMoved: false,
       },
       this.nowMs,
     );
@@ -198,6 +199,7 @@
           }
           break;
         case 'report-done':
+        case 'move-job':
           break;
         default:
           effect satisfies never;
