Election: a new leader is given time to answer before it is replaced

Cause: three ways to take a busy leader for a lost one.

Why it works: a take-over that takes longer than the timeout is no longer started anew on another instance. The leaders' side, on which the safety of resumed jobs rests, keeps its timeout.

--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -17,6 +17,7 @@
 import type { LeadershipClaim } from '../registry/leadership-claim';
 import type { InstanceRegistry } from '../registry/instance-registry';
 import { electionTiming } from './election-timing';
+import { LeaderChangeHistory } from './leader-change-history';
 
 interface LeaderElectionOptions {
   /** The part of the backend servers whose leader is elected. */
@@ -63,6 +64,8 @@
 export class LeaderElection {
   private pool: PoolLeader | undefined;
 
+  private readonly changes = new LeaderChangeHistory();
+
   private scope: 'all' | 'domain' = 'all';
 
   private link: LeaderLink | undefined;
@@ -187,6 +190,9 @@
   private async runStep(): Promise<void> {
     const { registry, part } = this.options;
     const claim = registry.findClaim(part.id);
+    if (claim !== undefined) {
+      this.changes.recordClaim(claim.revision, this.options.clock.now());
+    }
     if (this.pool !== undefined) {
       await (this.scope === 'all'
         ? this.advanceAsLeader(claim)
@@ -341,13 +347,19 @@
     } else if (claim.leader.name === self.name) {
       // The claim belongs to an earlier incarnation of this instance, which no longer runs.
       await this.claimUnlessDraining();
-    } else if (!(await this.openLink(claim.leader))) {
-      await this.handleUnreachableLeader(claim);
-      await clock.pause(electionTiming.retryDelayMs);
+    } else {
+      const opened = await this.openLink(claim.leader);
+      if (opened !== 'up') {
+        await this.handleUnreachableLeader(claim, opened);
+        await clock.pause(electionTiming.retryDelayMs);
+      }
     }
   }
 
-  private async handleUnreachableLeader(claim: LeadershipClaim): Promise<void> {
+  private async handleUnreachableLeader(
+    claim: LeadershipClaim,
+    reason: 'not-leader' | 'refused' | 'unreachable',
+  ): Promise<void> {
     const { registry, log, part } = this.options;
     if (!this.canLead()) {
       await this.options.clock.pause(electionTiming.observerRetryDelayMs);
@@ -371,7 +383,9 @@
     }
     this.isIsolated = !isStoreReachable;
     if (isStoreReachable) {
-      await this.claimInRankOrder(claim);
+      if (reason === 'refused' || this.changes.hasHadTimeToAnswer(this.options.clock.now())) {
+        await this.claimInRankOrder(claim);
+      }
     } else {
       await this.joinOrLeadDomain(views);
     }
@@ -475,10 +489,13 @@
     pool.close();
   }
 
-  private async openLink(leader: RegisteredInstance): Promise<boolean> {
+  private async openLink(
+    leader: RegisteredInstance,
+  ): Promise<'up' | 'not-leader' | 'refused' | 'unreachable'> {
     const { self, clock, entry, log, part } = this.options;
     const port = entry.buildPort(part.id);
-    const link = new LeaderLink(part.id, leader, self, clock, port, (reason) => {
+    const silenceTimeoutMs = this.changes.computeSilenceTimeoutMs(clock.now());
+    const link = new LeaderLink(part.id, leader, self, clock, port, silenceTimeoutMs, (reason) => {
       if (this.link === link) {
         log.warn({ part: part.id, leader: leader.name, reason }, 'link to the leader lost');
         this.link = undefined;
@@ -493,13 +510,13 @@
         { part: part.id, leader: leader.name, opened },
         'link to the leader could not be opened',
       );
-      return false;
+      return opened === 'up' ? 'unreachable' : opened;
     }
     log.info({ part: part.id, leader: leader.name }, 'link to the leader open');
     this.isIsolated = false;
     this.isLeaderLeaving = false;
     this.link = link;
     entry.setLeader(part.id, link);
-    return true;
+    return 'up';
   }
 }
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -21,6 +21,7 @@
 import { encodeJob } from './encode-job';
 import type { EntryPort } from './entry-port';
 import type { LeaderPort } from './leader-port';
+import { isConnectionRefused } from './is-connection-refused';
 import { linkTiming } from './link-timing';
 
 /** The link from this entry instance to the remote leader of a part. */
@@ -37,13 +38,17 @@
 
   private pingTimer: NodeJS.Timeout | undefined;
 
-  /** @param onClosed - called once when the link is closed, for whatever reason */
+  /**
+   * @param silenceTimeoutMs - the link is closed after this time without a message
+   * @param onClosed - called once when the link is closed, for whatever reason
+   */
   constructor(
     private readonly part: PartId,
     readonly leader: RegisteredInstance,
     private readonly self: RegisteredInstance,
     private readonly clock: Clock,
     private readonly entry: EntryPort,
+    private readonly silenceTimeoutMs: number,
     private readonly onClosed: (reason: string) => void,
   ) {
     this.session = new Http2SessionManager(`http://${leader.address}`);
@@ -62,10 +67,10 @@
   /**
    * Opens the link.
    *
-   * @returns `up`; `not-leader` if the other instance does not lead; `unreachable` if it does not
-   * answer in time or the stream fails
+   * @returns `up`; `not-leader` if the other instance does not lead; `refused` if nothing listens at its
+   * address; `unreachable` if it does not answer in time or the stream fails
    */
-  async open(): Promise<'up' | 'not-leader' | 'unreachable'> {
+  async open(): Promise<'up' | 'not-leader' | 'refused' | 'unreachable'> {
     const transport = createConnectTransport({
       baseUrl: `http://${this.leader.address}`,
       httpVersion: '2',
@@ -83,11 +88,18 @@
     });
     const replies = client.openLink(this.batches)[Symbol.asyncIterator]();
     const timeout = this.clock.pause(linkTiming.openTimeoutMs).then(() => undefined);
-    const hello = replies.next().catch(() => undefined);
+    let wasRefused = false;
+    const hello = replies.next().catch((error: unknown) => {
+      wasRefused = isConnectionRefused(error);
+      return undefined;
+    });
     const first = await Promise.race([hello, timeout]);
     if (first === undefined || first.done === true || first.value.hello?.isLeader !== true) {
       this.close('not opened');
-      return first?.done === false ? 'not-leader' : 'unreachable';
+      if (first?.done === false) {
+        return 'not-leader';
+      }
+      return wasRefused ? 'refused' : 'unreachable';
     }
     this.leadsDomainOnly = first.value.hello.isDomainOnly;
     this.heardAt = this.clock.now();
@@ -123,13 +135,22 @@
   }
 
   private checkSilence(): void {
-    if (this.clock.now() - this.heardAt > linkTiming.silenceTimeoutMs) {
-      this.close('silent');
+    if (this.isSilent()) {
+      // Messages that arrived while the event loop was blocked are read before the link is closed.
+      setImmediate(() => {
+        if (this.isSilent()) {
+          this.close('silent');
+        }
+      });
     } else {
       this.batches.addToBatch(() => {});
     }
   }
 
+  private isSilent(): boolean {
+    return this.clock.now() - this.heardAt > this.silenceTimeoutMs;
+  }
+
   private async handleReplies(replies: AsyncIterator<LeaderBatch>): Promise<void> {
     try {
       for (;;) {
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -59,13 +59,20 @@
     void receive()
       .catch(() => {})
       .finally(close);
+    const hasTimedOut = (): boolean =>
+      this.clock.now() - entry.heardAtMs > linkTiming.silenceTimeoutMs;
     const pingTimer = setInterval(() => {
-      if (this.clock.now() - entry.heardAtMs > linkTiming.silenceTimeoutMs) {
-        clearInterval(pingTimer);
-        close();
-      } else {
+      if (!hasTimedOut()) {
         entry.sendPing();
+        return;
       }
+      // Messages that arrived while the event loop was blocked are read before the link is closed.
+      setImmediate(() => {
+        if (hasTimedOut()) {
+          clearInterval(pingTimer);
+          close();
+        }
+      });
     }, linkTiming.pingIntervalMs);
     try {
       yield* entry.batches;
