Parts: cancellations and handovers that overtake other messages; one message a ping

Follow-ups to the division into parts, found by reading it. What callers could have seen: - A cancellation reaches the part that a job is being sent on to before the job does; the job then started although its cancellation had been acknowledged. The part now remembers cancellations of jobs that it does not know and ends such a job when it is sent on to it. (Test: 'starts nothing of a moved job that was cancelled here before it arrived', failed before.) - A leader that offered its part to a better suited instance told everyone to claim it. While that instance was shutting down, another small one took over, again every 2 s. The offer names its successor now. - The load of a part went out in messages of its own; it goes with the pings.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -90,7 +90,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
     hasRecentStoreFailure: () => registryMirror.hasFailedWithin(RECENT_STORE_FAILURE_MS),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
-    onLeaderLeaving: (part) => elections.recordLeaderLeaving(part),
+    onLeaderLeaving: (part, successor) => elections.recordLeaderLeaving(part, successor),
     onLoad: (part, load) => offers.recordLoad(part, load, clock.now()),
   });
   const registry = new InstanceRegistry(self, store, log, () => {
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -2,6 +2,7 @@
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobSpec } from '@guavaspindle/kernel/engine/job-spec';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
@@ -37,7 +38,7 @@
   /** Returns whether the platform's store has been unreachable recently. */
   hasRecentStoreFailure(): boolean;
   /** Called when the leader of a part is giving up the leadership. */
-  onLeaderLeaving(part: PartId): void;
+  onLeaderLeaving(part: PartId, successor: InstanceName | undefined): void;
   /** Called when the leader of a part reports its load. */
   onLoad(part: PartId, load: PartLoad): void;
 }
@@ -122,7 +123,7 @@
         this.pendingByQueue = pending;
       },
       reportLoad: (load) => this.options.onLoad(part, load),
-      reportLeaving: () => this.options.onLeaderLeaving(part),
+      reportLeaving: (successor) => this.options.onLeaderLeaving(part, successor),
       // `LeaderElection` calls `setLeader` itself when the instance stops leading.
       endLink() {},
       // Only the port of a leader in the same process is asked; it has no link that can fall silent.
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -120,10 +120,12 @@
     this.wake?.();
   }
 
-  /** Records that the leader is giving up the leadership. */
-  recordLeaderLeaving(): void {
-    this.isLeaderLeaving = this.pool === undefined;
-    this.wakeUp();
+  /** Records that the leader is giving up the leadership to a successor, or else to any instance. */
+  recordLeaderLeaving(successor: InstanceName | undefined): void {
+    if (successor === undefined || successor === this.options.self.name) {
+      this.isLeaderLeaving = this.pool === undefined;
+      this.wakeUp();
+    }
   }
 
   /**
@@ -136,7 +138,7 @@
     if (this.pool === undefined || this.scope === 'domain') {
       return;
     }
-    this.pool.reportLeaving();
+    this.pool.reportLeaving(undefined);
     const endMs = clock.now() + electionTiming.handoverTimeoutMs;
     while (this.pool !== undefined && clock.now() < endMs) {
       await clock.pause(electionTiming.checkIntervalMs);
@@ -228,30 +230,32 @@
       }
     } else if (clock.now() >= this.nextHandoverCheckAtMs) {
       this.nextHandoverCheckAtMs = clock.now() + electionTiming.handoverCheckIntervalMs;
-      if (this.hasBetterCandidate()) {
-        this.options.log.info({ part: part.id }, 'handing over to a better suited instance');
-        this.pool?.reportLeaving();
+      const successor = this.findBetterCandidate();
+      if (successor !== undefined) {
+        this.options.log.info(
+          { part: part.id, successor },
+          'handing over to a better suited instance',
+        );
+        this.pool?.reportLeaving(successor);
       }
     }
   }
 
   /**
-   * Returns whether an instance that ranks before this one has been connected for some time, and has
-   * more processor capacity or would relieve this instance of one of several parts.
+   * Finds an instance that ranks before this one, has been connected for some time, and has more
+   * processor capacity or would relieve this instance of one of several parts.
    */
-  private hasBetterCandidate(): boolean {
+  private findBetterCandidate(): InstanceName | undefined {
     const { self, countLedParts } = this.options;
     const candidates = this.rankCandidates();
+    const ownRank = candidates.findIndex(({ name }) => name === self.name);
     return candidates
-      .slice(
-        0,
-        candidates.findIndex(({ name }) => name === self.name),
-      )
-      .some(
+      .slice(0, ownRank)
+      .find(
         ({ name, cores }) =>
           (cores > self.cores || countLedParts() > 1) &&
           this.pool?.isEntryConnectedFor(name, electionTiming.stableConnectionMs) === true,
-      );
+      )?.name;
   }
 
   /** Ranks the instances that may lead the part, this one included, best first. */
--- a/packages/instance/src/lead/part-elections.ts
+++ b/packages/instance/src/lead/part-elections.ts
@@ -87,8 +87,8 @@
   }
 
   /** Records that the leader of a part is giving up the leadership. */
-  recordLeaderLeaving(part: PartId): void {
-    this.elections.get(part)?.recordLeaderLeaving();
+  recordLeaderLeaving(part: PartId, successor: InstanceName | undefined): void {
+    this.elections.get(part)?.recordLeaderLeaving(successor);
   }
 
   /** Hands over all leaderships of this instance; resolves when they are over or time has run out. */
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -1,4 +1,5 @@
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
@@ -14,8 +15,8 @@
   /** Reports, by queue, the number of jobs of which no task has started. */
   reportPending(pending: ReadonlyMap<string, number>): void;
   reportLoad(load: PartLoad): void;
-  /** The leader is giving up the leadership; another instance is to claim it. */
-  reportLeaving(): void;
+  /** The leader is giving up the leadership; the successor is to claim it, or else any instance. */
+  reportLeaving(successor: InstanceName | undefined): void;
   /** The leader has stopped leading, which ends the link. */
   endLink(): void;
   /** Returns whether no message has arrived from the entry instance for several ping intervals. */
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -3,6 +3,7 @@
 import { createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
@@ -182,7 +183,9 @@
       this.entry.reportPending(new Map(pending));
     }
     if (batch.isLeaving) {
-      this.entry.reportLeaving();
+      this.entry.reportLeaving(
+        batch.successor === '' ? undefined : (batch.successor as InstanceName),
+      );
     }
   }
 }
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -1,5 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
@@ -23,6 +24,8 @@
 export class RemoteEntry implements EntryPort {
   readonly batches = new BatchQueue<LeaderBatch>(() => create(LeaderBatchSchema));
 
+  private load: PartLoad | undefined;
+
   /** When the last message from the entry instance arrived, in monotonic milliseconds. */
   private heardAt: number;
 
@@ -55,13 +58,9 @@
     });
   }
 
-  reportLoad({ spareCpuMilli, loopLagMs }: PartLoad): void {
-    this.batches.addToBatch((batch) => {
-      batch.load = create(PartLoadSchema, {
-        spareCpuMilli: Math.max(0, Math.round(spareCpuMilli)),
-        loopLagMs: Math.max(0, Math.round(loopLagMs)),
-      });
-    });
+  /** Reports the load with the next ping. */
+  reportLoad(load: PartLoad): void {
+    this.load = load;
   }
 
   reportDone(id: JobId, task: TaskId): void {
@@ -84,9 +83,10 @@
     });
   }
 
-  reportLeaving(): void {
+  reportLeaving(successor: InstanceName | undefined): void {
     this.batches.addToBatch((batch) => {
       batch.isLeaving = true;
+      batch.successor = successor ?? '';
     });
   }
 
@@ -94,8 +94,17 @@
     this.batches.close();
   }
 
-  /** Sends an empty batch, which shows that this instance is alive and still leads. */
+  /** Sends a batch that shows that this instance is alive and still leads; with the load, if reported. */
   sendPing(): void {
-    this.batches.addToBatch(() => {});
+    const { load } = this;
+    this.load = undefined;
+    this.batches.addToBatch((batch) => {
+      if (load !== undefined) {
+        batch.load = create(PartLoadSchema, {
+          spareCpuMilli: Math.max(0, Math.round(load.spareCpuMilli)),
+          loopLagMs: Math.max(0, Math.round(load.loopLagMs)),
+        });
+      }
+    });
   }
 }
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -169,9 +169,12 @@
     this.requestAllConfirmations();
   }
 
-  /** Tells all entry instances that this instance gives up leadership. */
-  reportLeaving(): void {
-    this.entries.forEach((port) => port.reportLeaving());
+  /**
+   * Tells all entry instances that this instance gives up leadership, to a successor or else to any
+   * of them.
+   */
+  reportLeaving(successor: InstanceName | undefined): void {
+    this.entries.forEach((port) => port.reportLeaving(successor));
   }
 
   /** Stops leading at once without stopping runs; the next leader of all domains may adopt them. */
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -493,6 +493,20 @@
     pool.close();
   });
 
+  // Guards against a start after a cancellation that overtook the job on its way to another part.
+  it('starts nothing of a moved job that was cancelled here before it arrived', async () => {
+    const server = new FakeServer();
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildJobSubmission({ changes: { isMoved: true } });
+    expect(pool.cancelJob(job.spec.id)).toBe(false);
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(server.starts).toEqual([]);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'cancelled' });
+    pool.close();
+  });
+
   it('reports the capacity that no run and no waiting task needs', async () => {
     const { pool, entry } = buildPool([new FakeServer(), new FakeServer()]);
     await jest.advanceTimersByTimeAsync(150);
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -50,6 +50,8 @@
       return !submission.isResumed;
     case 'moved':
       return submission.isMoved;
+    case 'cancelled-early':
+      return !submission.isMoved;
     case 'completed':
     case 'failed':
     case 'cancelled':
@@ -133,17 +135,7 @@
     }
     const outcome = this.outcomes.findOutcome(spec.id);
     if (outcome !== undefined && !isNewAttempt(outcome, submission)) {
-      this.effects.push(
-        outcome.kind === 'moved'
-          ? {
-              kind: 'move-job',
-              owner,
-              jobId: spec.id,
-              part: outcome.part,
-              wasMovedBefore: true,
-            }
-          : { kind: 'end-job', owner, jobId: spec.id, outcome },
-      );
+      this.repeatOutcome(spec.id, owner, outcome);
       return;
     }
     const reportedTasks = this.completedTasks.takeTasks(spec.id);
@@ -162,12 +154,7 @@
   cancelJob(id: JobId, reason: StopReason, nowMs: number): boolean {
     const job = this.jobs.get(id);
     if (job === undefined) {
-      const outcome = this.outcomes.findOutcome(id);
-      if (outcome?.kind === 'not-run' || outcome?.kind === 'unknown' || outcome?.kind === 'moved') {
-        // The job may be submitted again; it must not start then.
-        this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
-      }
-      return outcome !== undefined;
+      return this.cancelAbsentJob(id, nowMs);
     }
     this.endJob(job, { kind: 'cancelled' }, nowMs, reason);
     return true;
@@ -390,6 +377,45 @@
     return { openJobs: this.jobs.size, waitingTasks, ...this.fleet.computeUse() };
   }
 
+  /** Cancels a job that is not open; returns whether it was open before. */
+  private cancelAbsentJob(id: JobId, nowMs: number): boolean {
+    const outcome = this.outcomes.findOutcome(id);
+    switch (outcome?.kind) {
+      case undefined:
+      case 'cancelled-early':
+        this.outcomes.recordOutcome(id, { kind: 'cancelled-early' }, nowMs);
+        return false;
+      case 'not-run':
+      case 'unknown':
+      case 'moved':
+        // The job may be submitted again; it must not start then.
+        this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
+        return true;
+      default:
+        return true;
+    }
+  }
+
+  /** Tells the owner of another copy of a job how the job has ended here. */
+  private repeatOutcome(jobId: JobId, owner: InstanceName, outcome: RememberedOutcome): void {
+    switch (outcome.kind) {
+      case 'moved':
+        this.effects.push({
+          kind: 'move-job',
+          owner,
+          jobId,
+          part: outcome.part,
+          wasMovedBefore: true,
+        });
+        return;
+      case 'cancelled-early':
+        this.effects.push({ kind: 'end-job', owner, jobId, outcome: { kind: 'cancelled' } });
+        return;
+      default:
+        this.effects.push({ kind: 'end-job', owner, jobId, outcome });
+    }
+  }
+
   private startRun(job: EngineJob, task: EngineTask, server: EngineServer, nowMs: number): void {
     const step = job.spec.steps[task.step]!;
     const run: EngineRun = {
--- a/packages/kernel/src/layout/part-offers.ts
+++ b/packages/kernel/src/layout/part-offers.ts
@@ -28,11 +28,6 @@
     });
   }
 
-  /** Forgets a part that cannot be reached. */
-  dropPart(part: PartId): void {
-    this.offers.delete(part);
-  }
-
   /**
    * Takes capacity from the part other than `own` that has the most left; undefined if none has
    * enough.
