Links to parts of other domains are open only while something needs them

No caller saw a fault of this yet: it bounds what the division into parts costs. An instance now links to the parts of its own domain; to others only while it leads a part, which needs their spare capacity, or while a job needs one, and 5 s longer.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -91,6 +91,8 @@
     hasRecentStoreFailure: () => registryMirror.hasFailedWithin(RECENT_STORE_FAILURE_MS),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
     onLeaderLeaving: (part, successor) => elections.recordLeaderLeaving(part, successor),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
+    onPartNeeded: (part) => elections.requestPart(part),
     onLoad: (part, load) => offers.recordLoad(part, load, clock.now()),
   });
   const registry = new InstanceRegistry(self, store, log, () => {
@@ -124,6 +126,8 @@
   };
   const elections: PartElections = new PartElections({
     domain: settings.domain,
+    clock,
+    hasJobsAt: (part) => entryJobs.hasJobsAt(part),
     openElection: (part) =>
       new LeaderElection({
         part,
@@ -132,6 +136,7 @@
         entry: entryJobs,
         clock,
         log,
+        isNeeded: () => elections.isPartNeeded(part.id),
         countLedParts: () => elections.countLedParts(),
         openPool,
       }),
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -39,6 +39,8 @@
   hasRecentStoreFailure(): boolean;
   /** Called when the leader of a part is giving up the leadership. */
   onLeaderLeaving(part: PartId, successor: InstanceName | undefined): void;
+  /** Called when a job needs a link to a part that has none; `setLeader` follows once it is open. */
+  onPartNeeded(part: PartId): void;
   /** Called when the leader of a part reports its load. */
   onLoad(part: PartId, load: PartLoad): void;
 }
@@ -131,6 +133,11 @@
     };
   }
 
+  /** Returns whether open jobs have been submitted to a part or are about to be. */
+  hasJobsAt(part: PartId): boolean {
+    return [...this.jobs.values()].some((job) => job.part === part);
+  }
+
   /** Refuses all new jobs from now on; open jobs continue. */
   refuseNewJobs(): void {
     this.isRefusing = true;
@@ -231,19 +238,14 @@
     job.isMoved = true;
     job.mayHaveRun = wasMovedBefore;
     job.hadEarlierLeader = false;
-    const leader = this.leaders.get(target);
-    if (leader !== undefined) {
-      this.submitTo(job, target, leader);
-    } else if (wasMovedBefore) {
-      const reason = 'the leader that the job was sent on to cannot be reached';
-      this.settleJob(job, { kind: 'unknown', reason });
-    } else if (!this.sendElsewhere(job)) {
-      const reason = 'no leader with room can be reached';
-      this.settleJob(job, { kind: 'not-run', reason, retryAfterMs: RETRY_AFTER_MS });
-    }
+    job.part = target;
+    this.sendJob(job);
   }
 
-  /** Submits a job that its part has sent back to another part; returns false if there is none. */
+  /**
+   * Submits a job of which its part has started nothing to another part; returns false if all parts
+   * have been tried.
+   */
   private sendElsewhere(job: OpenJob): boolean {
     if (job.part !== undefined) {
       job.triedParts.add(job.part);
@@ -253,7 +255,7 @@
     job.hadEarlierLeader = false;
     job.isMoved = true;
     this.sendJob(job);
-    return job.part !== undefined;
+    return this.parts.some(({ id }) => !job.triedParts.has(id));
   }
 
   private answerCancel(part: PartId, id: JobId, isKnown: boolean): void {
@@ -283,22 +285,34 @@
     return job;
   }
 
-  /** Submits a job to the leader of its part; without a part, to its home part or else another one. */
+  /**
+   * Submits a job to the leader of its part; without a part, to its home part or else another one.
+   * Asks for a link if there is none.
+   */
   private sendJob(job: OpenJob): void {
     const part = job.part ?? this.choosePart(job);
-    const leader = part === undefined ? undefined : this.leaders.get(part);
-    if (part !== undefined && leader !== undefined) {
+    if (part === undefined) {
+      return;
+    }
+    const leader = this.leaders.get(part);
+    if (leader === undefined) {
+      this.options.onPartNeeded(part);
+    } else {
       this.submitTo(job, part, leader);
     }
   }
 
+  /**
+   * Chooses a part for a job: one with a leader before others, and one of the own domain before
+   * others.
+   */
   private choosePart(job: OpenJob): PartId | undefined {
     const { domain } = this.options;
-    const reachable = this.parts.filter(
-      ({ id }) => this.leaders.has(id) && !job.triedParts.has(id),
-    );
-    const near = chooseHomePart(reachable, domain, job.spec.id);
-    return (near ?? reachable[0])?.id;
+    const { id: jobId } = job.spec;
+    const untried = this.parts.filter(({ id }) => !job.triedParts.has(id));
+    const reachable = untried.filter(({ id }) => this.leaders.has(id));
+    const best = chooseHomePart(reachable, domain, jobId) ?? reachable[0];
+    return (best ?? untried.find((part) => part.domain !== domain) ?? untried[0])?.id;
   }
 
   private submitTo(job: OpenJob, part: PartId, leader: LeaderPort): void {
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -19,6 +19,9 @@
 import { electionTiming } from './election-timing';
 import { LeaderChangeHistory } from './leader-change-history';
 
+/** Reason for closing a link that no job needs any more. */
+const NOT_NEEDED = 'not needed';
+
 interface LeaderElectionOptions {
   /** The part of the backend servers whose leader is elected. */
   readonly part: PoolPart;
@@ -27,6 +30,8 @@
   readonly entry: EntryJobs;
   readonly clock: Clock;
   readonly log: Logger;
+  /** Returns whether a link is needed to the leader of a part that this instance may not lead. */
+  isNeeded(): boolean;
   /** Number of parts that this instance leads. */
   countLedParts(): number;
   /**
@@ -195,6 +200,10 @@
     if (claim !== undefined) {
       this.changes.recordClaim(claim.revision, this.options.clock.now());
     }
+    if (!this.canLead() && !this.options.isNeeded()) {
+      this.link?.close(NOT_NEEDED);
+      return;
+    }
     if (this.pool !== undefined) {
       await (this.scope === 'all'
         ? this.advanceAsLeader(claim)
@@ -501,7 +510,12 @@
     const silenceTimeoutMs = this.changes.computeSilenceTimeoutMs(clock.now());
     const link = new LeaderLink(part.id, leader, self, clock, port, silenceTimeoutMs, (reason) => {
       if (this.link === link) {
-        log.warn({ part: part.id, leader: leader.name, reason }, 'link to the leader lost');
+        const fields = { part: part.id, leader: leader.name, reason };
+        if (reason === NOT_NEEDED) {
+          log.debug(fields, 'link to the leader closed');
+        } else {
+          log.warn(fields, 'link to the leader lost');
+        }
         this.link = undefined;
         entry.setLeader(part.id, undefined);
         this.wakeUp();
--- a/packages/instance/src/lead/part-elections.ts
+++ b/packages/instance/src/lead/part-elections.ts
@@ -6,24 +6,30 @@
 import type { PoolLayout } from '@guavaspindle/kernel/layout/pool-layout';
 import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
 import { listParts } from '@guavaspindle/kernel/layout/list-parts';
+import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { computeRendezvousScore } from '@guavaspindle/kernel/placement/compute-rendezvous-score';
 import type { EntryPort } from '../links/entry-port';
 import type { InstanceView } from '../links/instance-view';
 import type { LinkHost } from '../links/link-host';
 import type { LeaderElection } from './leader-election';
 
-/** Number of parts of other failure domains to which an instance keeps links. */
+/** Number of parts of other failure domains to which an instance may open links. */
 const MAX_REMOTE_PARTS = 8;
+/** A link to a part of another failure domain is closed this long after the last job needed it. */
+const IDLE_REMOTE_LINK_MS = 5_000;
 
 interface PartElectionsOptions {
   /** The failure domain of this instance. */
   readonly domain: DomainName;
+  readonly clock: Clock;
   openElection(part: PoolPart): LeaderElection;
-  /** Called when the parts have changed to which this instance keeps links. */
+  /** Returns whether open jobs of this instance have been submitted to a part. */
+  hasJobsAt(part: PartId): boolean;
+  /** Called when the parts have changed to which this instance may open links. */
   onPartsChanged(parts: readonly PoolPart[]): void;
 }
 
-/** Chooses the parts to link to: all of the own domain, and the same others in the whole domain. */
+/** Chooses the parts that links may be opened to: all of the own domain, and the same others in the whole domain. */
 function choosePartsToLink(layout: PoolLayout, domain: DomainName): readonly PoolPart[] {
   const parts = listParts(layout);
   const own = parts.filter((part) => part.domain === undefined || part.domain === domain);
@@ -37,6 +43,9 @@
 export class PartElections implements LinkHost {
   private readonly elections = new Map<PartId, LeaderElection>();
 
+  /** When a job last needed a part, in monotonic milliseconds. */
+  private readonly neededAtMs = new Map<PartId, number>();
+
   private isClosed = false;
 
   constructor(private readonly options: PartElectionsOptions) {}
@@ -65,6 +74,26 @@
     });
   }
 
+  /** Opens a link to a part, or keeps it open, because a job needs it. */
+  requestPart(part: PartId): void {
+    this.neededAtMs.set(part, this.options.clock.now());
+    this.elections.get(part)?.wakeUp();
+  }
+
+  /**
+   * Returns whether a link to a part of another failure domain is needed: for jobs, or for the spare
+   * capacity that its leader reports to the leaders of other parts.
+   */
+  isPartNeeded(part: PartId): boolean {
+    const { clock, hasJobsAt } = this.options;
+    const neededAtMs = this.neededAtMs.get(part);
+    return (
+      this.countLedParts() > 0 ||
+      (neededAtMs !== undefined && clock.now() - neededAtMs < IDLE_REMOTE_LINK_MS) ||
+      hasJobsAt(part)
+    );
+  }
+
   /** Ends the pause between two steps of every election. */
   wakeUp(): void {
     this.elections.forEach((election) => election.wakeUp());
