--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -146,7 +146,7 @@
     clock,
     log,
     findLayout: () => registry.findLayout(),
-    countServers: () => fleet.countServers(),
+    listServers: () => fleet.listServers(),
     isWriter: (layout) => elections.isLeadingFirstPart(layout),
     writeLayout: (layout) => registry.writeLayout(layout),
   });
--- a/packages/instance/src/lead/layout-planner.ts
+++ b/packages/instance/src/lead/layout-planner.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { PoolLayout } from '@guavaspindle/kernel/layout/pool-layout';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { computeLayout } from '@guavaspindle/kernel/layout/compute-layout';
@@ -7,11 +8,16 @@
 /** A layout is written once the fleet has called for the same one for this long, in milliseconds. */
 const STABLE_MS = 1_500;
 
+/** Describes how many parts each failure domain has. */
+function describeLayout(layout: PoolLayout): string {
+  return JSON.stringify([...layout].map(([domain, boundaries]) => [domain, boundaries.length + 1]));
+}
+
 interface LayoutPlannerOptions {
   readonly clock: Clock;
   readonly log: Logger;
   findLayout(): PoolLayout;
-  countServers(): ReadonlyMap<DomainName, number>;
+  listServers(): ReadonlyMap<DomainName, readonly ServerId[]>;
   /** Returns whether this instance is the one that may write the layout now. */
   isWriter(layout: PoolLayout): boolean;
   writeLayout(layout: PoolLayout): Promise<void>;
@@ -27,17 +33,18 @@
 
   /** Writes a new layout if the fleet has called for it long enough; call it regularly. */
   async check(): Promise<void> {
-    const { clock, log, findLayout, countServers, isWriter, writeLayout } = this.options;
+    const { clock, log, findLayout, listServers, isWriter, writeLayout } = this.options;
     const current = findLayout();
-    const next = computeLayout(countServers(), current);
+    const next = computeLayout(listServers(), current);
     const nowMs = clock.now();
-    const text = JSON.stringify([...next]);
-    if (text !== this.planned || text === JSON.stringify([...current]) || !isWriter(current)) {
-      this.planned = text;
+    // The boundaries follow each server that comes or goes; what has to be stable is the number of parts.
+    const planned = next === current ? '' : describeLayout(next);
+    if (planned !== this.planned || planned === describeLayout(current) || !isWriter(current)) {
+      this.planned = planned;
       this.plannedSinceMs = nowMs;
     } else if (nowMs - this.plannedSinceMs >= STABLE_MS) {
       this.plannedSinceMs = nowMs;
-      log.warn({ layout: Object.fromEntries(next) }, 'dividing the backend servers anew');
+      log.warn({ parts: planned }, 'dividing the backend servers anew');
       await writeLayout(next);
     }
   }
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -52,7 +52,8 @@
   id: 'warm-up' as PartId,
   domain: undefined,
   index: 0,
-  count: 1,
+  fromPosition: 0,
+  toPosition: Infinity,
 };
 
 const QUEUE: QueueSettings = {
--- a/packages/instance/src/registry/instance-registry.ts
+++ b/packages/instance/src/registry/instance-registry.ts
@@ -24,7 +24,7 @@
 
   private readonly claims = new Map<PartId, LeadershipClaim>();
 
-  private layout: PoolLayout = new Map<DomainName, number>();
+  private layout: PoolLayout = new Map<DomainName, readonly number[]>();
 
   private layoutRevision = 0;
 
--- a/packages/instance/src/store/fleet-mirror.ts
+++ b/packages/instance/src/store/fleet-mirror.ts
@@ -44,11 +44,15 @@
     this.listeners.delete(listener);
   }
 
-  /** Counts the known servers by failure domain. */
-  countServers(): ReadonlyMap<DomainName, number> {
-    const counts = new Map<DomainName, number>();
-    this.reports.forEach(({ domain }) => counts.set(domain, (counts.get(domain) ?? 0) + 1));
-    return counts;
+  /** Lists the known servers by failure domain. */
+  listServers(): ReadonlyMap<DomainName, readonly ServerId[]> {
+    const byDomain = new Map<DomainName, ServerId[]>();
+    this.reports.forEach(({ id, domain }) => {
+      const servers = byDomain.get(domain) ?? [];
+      servers.push(id);
+      byDomain.set(domain, servers);
+    });
+    return byDomain;
   }
 
   onSnapshot({ items }: StoreSnapshot): void {
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -149,8 +149,8 @@
 describe('EntryJobs with several parts', () => {
   const DOMAIN = 'domain-1' as DomainName;
   const LAYOUT = new Map([
-    [DOMAIN, 2],
-    ['domain-2' as DomainName, 1],
+    [DOMAIN, [2 ** 31]],
+    ['domain-2' as DomainName, []],
   ]);
   const PARTS = listParts(LAYOUT);
   const REMOTE = PARTS[2]!.id;
--- a/packages/kernel/src/layout/is-server-in-part.ts
+++ b/packages/kernel/src/layout/is-server-in-part.ts
@@ -1,14 +1,18 @@
 import type { ServerReport } from '../engine/server-report';
-import { computeRendezvousScore } from '../placement/compute-rendezvous-score';
+import { computeServerPosition } from './compute-server-position';
 import type { PoolPart } from './pool-part';
 
 /** Returns whether a server belongs to a part; the same at every instance and after a restart. */
 export function isServerInPart(
   part: PoolPart,
-  { id, domain }: Pick<ServerReport, 'id' | 'domain'>,
+  server: Pick<ServerReport, 'id' | 'domain'>,
 ): boolean {
-  return (
-    part.domain === undefined ||
-    (part.domain === domain && computeRendezvousScore(id, domain) % part.count === part.index)
-  );
+  if (part.domain === undefined) {
+    return true;
+  }
+  if (part.domain !== server.domain) {
+    return false;
+  }
+  const position = computeServerPosition(server);
+  return position >= part.fromPosition && position < part.toPosition;
 }
--- a/packages/kernel/src/layout/pool-layout.ts
+++ b/packages/kernel/src/layout/pool-layout.ts
@@ -1,7 +1,8 @@
 import type { DomainName } from '../ids/domain-name';
 
 /**
- * How the backend servers are divided among leaders: the number of parts of each failure domain. An
- * empty map stands for a single part that spans all domains.
+ * How the backend servers are divided among leaders. For each failure domain, the ascending positions
+ * of the servers' hashes at which a new part begins; a domain without any is a single part. An empty
+ * map stands for one part that spans all domains.
  */
-export type PoolLayout = ReadonlyMap<DomainName, number>;
+export type PoolLayout = ReadonlyMap<DomainName, readonly number[]>;
--- a/packages/kernel/src/layout/pool-part.ts
+++ b/packages/kernel/src/layout/pool-part.ts
@@ -6,8 +6,10 @@
   readonly id: PartId;
   /** The failure domain of the part's servers; undefined for a part that spans all domains. */
   readonly domain: DomainName | undefined;
-  /** Position among the parts of the same failure domain, from 0. */
+  /** Number of the part among those of the same failure domain, from 0. */
   readonly index: number;
-  /** Number of parts of that failure domain. */
-  readonly count: number;
+  /** Positions of the part's servers: from this one on. */
+  readonly fromPosition: number;
+  /** Positions of the part's servers: below this one. */
+  readonly toPosition: number;
 }
--- a/packages/kernel/tests/layout.test.ts
+++ b/packages/kernel/tests/layout.test.ts
@@ -8,20 +8,39 @@
 import { isServerInPart } from '../src/layout/is-server-in-part';
 import { listParts } from '../src/layout/list-parts';
 import { PartOffers } from '../src/layout/part-offers';
-import type { PoolPart } from '../src/layout/pool-part';
+import type { PoolLayout } from '../src/layout/pool-layout';
 import { rankCandidates } from '../src/layout/rank-candidates';
 
 const NEAR = 'near' as DomainName;
 const FAR = 'far' as DomainName;
 
-/** Builds a count by failure domain. */
-function buildCounts(counts: Readonly<Record<string, number>>): ReadonlyMap<DomainName, number> {
-  return new Map(Object.entries(counts) as [DomainName, number][]);
+/** Builds the servers of each failure domain. */
+function buildFleet(
+  counts: Readonly<Record<string, number>>,
+): ReadonlyMap<DomainName, readonly ServerId[]> {
+  return new Map(
+    Object.entries(counts).map(([domain, count]) => [
+      domain as DomainName,
+      Array.from({ length: count }, (_unused, index) => `i-${index}` as ServerId),
+    ]),
+  );
 }
 
-/** Builds the part with an index of two parts of a domain. */
-function buildPart(index: number): PoolPart {
-  return { id: `near.${index}-of-2` as PartId, domain: NEAR, index, count: 2 };
+/** Builds a layout with the given number of parts of each failure domain. */
+function buildLayout(counts: Readonly<Record<string, number>>): PoolLayout {
+  return new Map(
+    Object.entries(counts).map(([domain, count]) => [
+      domain as DomainName,
+      Array.from({ length: count - 1 }, (_unused, index) => ((index + 1) * 2 ** 32) / count),
+    ]),
+  );
+}
+
+/** Counts the parts of each failure domain. */
+function countParts(layout: PoolLayout): Record<string, number> {
+  return Object.fromEntries(
+    [...layout].map(([domain, boundaries]) => [domain, boundaries.length + 1]),
+  );
 }
 
 describe('the layout of a fleet', () => {
@@ -43,13 +62,23 @@
     ['divides a domain anew after a large growth', { near: 140 }, { near: 2 }, { near: 4 }],
     ['adds a domain that is new', { near: 62, far: 5 }, { near: 2 }, { near: 2, far: 1 }],
   ])('%s', (_name, servers, current, expected) => {
-    expect(computeLayout(buildCounts(servers as never), buildCounts(current as never))).toEqual(
-      buildCounts(expected as never),
+    const layout = computeLayout(buildFleet(servers), buildLayout(current));
+    expect(countParts(layout)).toEqual(expected);
+  });
+
+  it('makes the parts of a domain equally large', () => {
+    const fleet = buildFleet({ near: 62, far: 100 });
+    const parts = listParts(computeLayout(fleet, new Map()));
+    const sizes = parts.map(
+      (part) =>
+        fleet.get(part.domain!)!.filter((id) => isServerInPart(part, { id, domain: part.domain! }))
+          .length,
     );
+    expect(sizes).toEqual([31, 31, 33, 33, 34]);
   });
 
   it('puts each server into exactly one part, and spreads them over the parts', () => {
-    const parts = listParts(buildCounts({ near: 3, far: 2 }));
+    const parts = listParts(buildLayout({ near: 3, far: 2 }));
     const sizes = parts.map(() => 0);
     for (let number = 0; number < 300; number += 1) {
       const server = { id: `i-${number}` as ServerId, domain: number % 2 === 0 ? NEAR : FAR };
@@ -67,7 +96,7 @@
   });
 
   it('chooses a home part in the own domain, the same whatever the order of the parts', () => {
-    const parts = listParts(buildCounts({ near: 3, far: 3 }));
+    const parts = listParts(buildLayout({ near: 3, far: 3 }));
     const homes = new Set<string>();
     for (let number = 0; number < 100; number += 1) {
       const job = number.toString(16).padStart(16, '0') as JobId;
@@ -93,7 +122,11 @@
     [0, ['b', 'd', 'a', 'c']],
     [1, ['d', 'b', 'c', 'a']],
   ])('prefers processor capacity and spreads the parts over equals (part %i)', (index, names) => {
-    expect(rankCandidates(candidates, buildPart(index)).map(({ name }) => name)).toEqual(names);
+    expect(
+      rankCandidates(candidates, listParts(buildLayout({ near: 2 }))[index]!).map(
+        ({ name }) => name,
+      ),
+    ).toEqual(names);
   });
 });
 
