--- a/packages/soak/src/bin/soak.ts
+++ b/packages/soak/src/bin/soak.ts
@@ -25,6 +25,10 @@
 
   rate = Option.String('--rate', '20', { description: 'Jobs a second.' });
 
+  killsAll = Option.Boolean('--kill-all', false, {
+    description: 'Kill all instances at once when the faults are over.',
+  });
+
   override async execute(): Promise<number> {
     const first = Number(this.seed);
     const count = Math.min(MOST_SEEDS, Number(this.seeds));
@@ -36,6 +40,7 @@
         instances: Number(this.instances),
         servers: Number(this.servers),
         jobsPerSecond: Number(this.rate),
+        killsAll: this.killsAll,
       });
       brokenSeeds += report.broken.length > 0 ? 1 : 0;
       this.context.stdout.write(`${JSON.stringify(report)}\n`);
--- a/packages/soak/src/plan/soak-options.ts
+++ b/packages/soak/src/plan/soak-options.ts
@@ -7,4 +7,6 @@
   readonly instances: number;
   readonly servers: number;
   readonly jobsPerSecond: number;
+  /** True if all instances are killed at once when the faults are over. */
+  readonly killsAll: boolean;
 }
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -27,6 +27,9 @@
   const callers = new SoakCallers(options.seed, site.callerAddresses, book);
   const faults = pickFaults(options);
   const timers = faults.map((planned) => setTimeout(() => site.applyFault(planned), planned.atMs));
+  if (options.killsAll) {
+    timers.push(setTimeout(() => site.killAll(), options.faultsMs));
+  }
   try {
     await callers.sendJobs(options.jobsPerSecond, options.faultsMs + RECOVERY_MS);
     const disturbed = callers.sentCount;
--- a/packages/soak/src/site/soak-site.ts
+++ b/packages/soak/src/site/soak-site.ts
@@ -20,6 +20,8 @@
 const CALLERS_PORT = 7_301;
 const READINESS_PORT = 7_302;
 const PEER_PORT = 7_303;
+/** Time from a kill of all instances to their restart. */
+const RESTART_DELAY_MS = 500;
 /** Starts whose answers a server loses in one fault. */
 const LOST_STARTS = 4;
 
@@ -108,6 +110,15 @@
     }, forMs);
   }
 
+  /** Kills all instances at once and starts them again a little later. */
+  killAll(): void {
+    this.instances.forEach((instance) => {
+      void instance.kill().then(() => {
+        setTimeout(() => this.restartInstance(instance), RESTART_DELAY_MS);
+      });
+    });
+  }
+
   /** Ends all processes that this site has started, and the stand-ins. */
   async close(): Promise<void> {
     this.isClosing = true;
--- a/packages/soak/tests/soak.test.ts
+++ b/packages/soak/tests/soak.test.ts
@@ -18,9 +18,24 @@
         instances,
         servers: 6,
         jobsPerSecond: 10,
+        killsAll: false,
       });
       expect(report.broken).toEqual([]);
       expect(report.starts).toBeGreaterThan(0);
     },
   );
+
+  // Guards against leaders of a large fleet that replace each other after a restart of all instances.
+  it('breaks no promise and recovers on a large fleet whose instances are all killed, seed 301', async () => {
+    const report = await runSoak({
+      seed: 301,
+      faultsMs: 10_000,
+      instances: 6,
+      servers: 72,
+      jobsPerSecond: 20,
+      killsAll: true,
+    });
+    expect(report.broken).toEqual([]);
+    expect(report.starts).toBeGreaterThan(0);
+  });
 });
