Fewer wake-ups and less warm-up on instances that do not lead

An instance with two others of at least twice its capacity in its domain warms up only the callers' interface. Fleets of equal instances behave as before.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -15,6 +15,7 @@
 import { ControlServer } from '@guavaspindle/runtime/control/control-server';
 import { EntryJobs } from './entry/entry-jobs';
 import { HttpServer } from './http/http-server';
+import { isLikelyLeader } from './lead/is-likely-leader';
 import { LayoutPlanner } from './lead/layout-planner';
 import { LeaderElection } from './lead/leader-election';
 import { PartElections } from './lead/part-elections';
@@ -48,6 +49,10 @@
 const RECENT_STORE_FAILURE_MS = 5_000;
 /** Interval of the check whether the fleet has outgrown its layout. */
 const LAYOUT_CHECK_MS = 500;
+/** Delay of the warm-up, after which the other instances have registered. */
+const WARM_UP_DELAY_MS = 500;
+/** Warm-up of an instance that serves callers, but is unlikely to lead. */
+const ENTRY_WARM_UP_ITERATIONS = { jobs: 0, orders: 0, calls: 800 };
 /** Port of the metrics endpoint; `metrics` in the deploy file must name the same port. */
 const METRICS_PORT = 9_464;
 /** A shutdown ends this long before the platform kills the process. */
@@ -199,7 +204,12 @@
   void registry.writeOwnRecord();
   log.info({ self }, 'instance started');
   if (settings.isFirstStart) {
-    void runWarmUp(clock, log, settings.ip, settings.callersAddress);
+    void clock.pause(WARM_UP_DELAY_MS).then(() => {
+      const iterations = isLikelyLeader(self, registry.listOthers())
+        ? undefined
+        : ENTRY_WARM_UP_ITERATIONS;
+      return runWarmUp(clock, log, settings.ip, settings.callersAddress, iterations);
+    });
   }
 
   return {
--- a/packages/instance/src/lead/election-timing.ts
+++ b/packages/instance/src/lead/election-timing.ts
@@ -3,7 +3,9 @@
   /** Interval between election steps; a change of the registry triggers a step at once. */
   checkIntervalMs: 20,
   /** The same while the instance leads or has a link to the leader; its loss triggers a step too. */
-  connectedCheckIntervalMs: 100,
+  connectedCheckIntervalMs: 250,
+  /** The same for a part to which no link is needed; a job that needs one triggers a step too. */
+  unneededCheckIntervalMs: 1_000,
   /** Timeout for fetching another instance's view of the leader; covers several round trips. */
   viewTimeoutMs: 200,
   /** A leader counts as heard if a message from it arrived within this time; a few pings. */
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -112,10 +112,7 @@
       await this.runStep();
       await new Promise<void>((resolve) => {
         this.wake = resolve;
-        const pauseMs = this.isConnected()
-          ? electionTiming.connectedCheckIntervalMs
-          : electionTiming.checkIntervalMs;
-        void clock.pause(pauseMs).then(resolve);
+        void clock.pause(this.computePauseMs()).then(resolve);
       });
     }
   }
@@ -194,6 +191,15 @@
     };
   }
 
+  private computePauseMs(): number {
+    if (!this.canLead() && !this.options.isNeeded()) {
+      return electionTiming.unneededCheckIntervalMs;
+    }
+    return this.isConnected()
+      ? electionTiming.connectedCheckIntervalMs
+      : electionTiming.checkIntervalMs;
+  }
+
   private async runStep(): Promise<void> {
     const { registry, part } = this.options;
     const claim = registry.findClaim(part.id);
