Election: a wake-up during a step begins the next one

Callers could have waited up to 250 ms longer for a new leader: a change of the registry or a lost link that arrives while a step of the election runs was dropped, and since the pause between steps is 250 ms while connected (20 ms before), the next look came that much later. Found by reading; no run has shown it. The wake-up is remembered and the next step begins at once.

--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -91,6 +91,8 @@
 
   private wake: (() => void) | undefined;
 
+  private isWoken = false;
+
   private isClosed = false;
 
   constructor(private readonly options: LeaderElectionOptions) {}
@@ -109,16 +111,21 @@
   async run(): Promise<void> {
     const { clock } = this.options;
     while (!this.isClosed) {
+      this.isWoken = false;
       await this.runStep();
-      await new Promise<void>((resolve) => {
-        this.wake = resolve;
-        void clock.pause(this.computePauseMs()).then(resolve);
-      });
+      if (!this.isWoken) {
+        await new Promise<void>((resolve) => {
+          this.wake = resolve;
+          void clock.pause(this.computePauseMs()).then(resolve);
+        });
+        this.wake = undefined;
+      }
     }
   }
 
-  /** Ends the pause between two steps; has no effect while a step runs. */
+  /** Begins the next step without a pause; called while a step runs, once that has ended. */
   wakeUp(): void {
+    this.isWoken = true;
     this.wake?.();
   }
 
