--- a/packages/kernel/tests/job-engine.property.test.ts
+++ b/packages/kernel/tests/job-engine.property.test.ts
@@ -4,6 +4,7 @@
 import type { DomainName } from '../src/ids/domain-name';
 import type { InstanceName } from '../src/ids/instance-name';
 import type { JobId } from '../src/ids/job-id';
+import type { PartId } from '../src/ids/part-id';
 import type { QueueName } from '../src/ids/queue-name';
 import type { ServerId } from '../src/ids/server-id';
 import type { ServiceName } from '../src/ids/service-name';
@@ -13,6 +14,7 @@
 const CAPACITY_MILLI = 64_000;
 const OWNER = 'entry-1' as InstanceName;
 const SERVICE = 'service' as ServiceName;
+const OTHER_PART = 'other' as PartId;
 const OPERATION_INTERVAL_MS = 20;
 const RUNS = 2_000;
 const SEED = 20_261_204;
@@ -30,6 +32,7 @@
   'restart-server',
   'drain-server',
   'drop-owner',
+  'move',
 ] as const;
 
 interface Order {
@@ -42,8 +45,9 @@
 
 /**
  * A model of servers that execute orders, lose orders or lose answers. Asserts the invariants: no
- * task runs twice at a time, no server runs over its capacity, and no start is ordered on a
- * draining server or for a cancelled or refused job.
+ * task runs twice at a time, no server runs over its capacity, no start is ordered on a draining
+ * server or for a cancelled, refused or moved job, and a job moves only while nothing of it runs or
+ * may still start.
  */
 class ClusterModel {
   readonly engine = new JobEngine();
@@ -56,6 +60,8 @@
 
   private readonly refusedJobs = new Set<JobId>();
 
+  private readonly movedJobs = new Set<JobId>();
+
   private readonly demands = new Map<JobId, number>();
 
   private readonly drainingServers = new Set<ServerId>();
@@ -107,6 +113,9 @@
         this.registerServer(index, !this.drainingServers.has(String(index) as ServerId));
         break;
       }
+      case 'move':
+        this.engine.moveWaitingJobs(() => OTHER_PART, this.nowMs);
+        break;
       case 'drop-owner':
         this.engine.dropOwner(OWNER, this.nowMs);
         break;
@@ -186,6 +195,7 @@
         case 'start-run': {
           expect(this.cancelledJobs.has(effect.jobId)).toBe(false);
           expect(this.refusedJobs.has(effect.jobId)).toBe(false);
+          expect(this.movedJobs.has(effect.jobId)).toBe(false);
           expect(this.drainingServers.has(effect.serverId)).toBe(false);
           this.orders.push({ ...effect, kind: 'start' });
           break;
@@ -198,8 +208,12 @@
             this.refusedJobs.add(effect.jobId);
           }
           break;
-        case 'report-done':
         case 'move-job':
+          expect(effect.wasMovedBefore).toBe(this.movedJobs.has(effect.jobId));
+          this.movedJobs.add(effect.jobId);
+          this.checkNothingStarted(effect.jobId);
+          break;
+        case 'report-done':
           break;
         default:
           effect satisfies never;
@@ -207,6 +221,18 @@
     });
   }
 
+  /** Expects that no run of the job is in progress and that no start of it may still arrive. */
+  private checkNothingStarted(jobId: JobId): void {
+    const live = [...this.liveRuns.values()].filter((run) => run.jobId === jobId);
+    const arriving = this.orders.filter(
+      (order) =>
+        order.kind === 'start' &&
+        order.jobId === jobId &&
+        !this.orders.some((stop) => stop.kind === 'stop' && stop.task === order.task),
+    );
+    expect([...live, ...arriving]).toEqual([]);
+  }
+
   private handleStart(
     operation: 'deliver-start' | 'lose-start' | 'lose-answer',
     choice: number,
