--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -429,9 +429,9 @@
       await this.openLink(domainLeader.other);
       return;
     }
-    const isFirstByName = domainPeers.every(({ other }) => other.name > self.name);
+    const [best] = rankCandidates([...domainPeers.map(({ other }) => other), self], part);
     const token = registry.findFallbackToken(part.id);
-    if (!isFirstByName || clock.now() < this.domainBackoffUntilMs || this.isDraining) {
+    if (best?.name !== self.name || clock.now() < this.domainBackoffUntilMs || this.isDraining) {
       return;
     }
     if (token === undefined) {
