Moved jobs: a cancellation reaches the part that has the job now

What a caller could have seen: a job was cancelled through another instance than the one that waits for it, the cancellation was acknowledged, and the job ran on at the part to which it had been sent on. The home part remembers whose job it sent on and tells that instance; the instance cancels the job where it is, or does not submit it if it is still on its way.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -210,7 +210,14 @@
 
   private endJob(part: PartId, id: JobId, outcome: JobOutcome): void {
     const job = this.jobs.get(id);
-    if (job?.part !== part) {
+    if (job === undefined) {
+      return;
+    }
+    if (job.part !== part) {
+      // An earlier part has nothing to say of the job, except that it was cancelled there.
+      if (outcome.kind === 'cancelled') {
+        this.cancelMovedJob(job);
+      }
       return;
     }
     if (outcome.kind === 'not-run' && outcome.isUnservable === true && this.sendElsewhere(job)) {
@@ -219,6 +226,14 @@
     this.settleJob(job, outcome);
   }
 
+  /** Cancels a job, of which another part has been told, at the part that has it now. */
+  private cancelMovedJob(job: OpenJob): void {
+    if (job.part !== undefined) {
+      this.leaders.get(job.part)?.cancelJob(job.spec.id);
+    }
+    this.settleJob(job, { kind: 'cancelled' });
+  }
+
   /** Answers all callers of a job with its outcome. */
   private settleJob(job: OpenJob, outcome: JobOutcome): void {
     const { id, queue } = job.spec;
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -475,6 +475,17 @@
     pool.close();
   });
 
+  it('tells the owner of a moved job that it was cancelled here', async () => {
+    const { pool, entry } = await buildFullPool(200_000);
+    const job = buildJobSubmission({ number: 2, taskCount: 2 });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(100);
+    expect(pool.cancelJob(job.spec.id)).toBe(true);
+    await jest.advanceTimersByTimeAsync(100);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'cancelled' });
+    pool.close();
+  });
+
   it.each([
     ['has started', { number: 2, taskCount: 3 }, 30],
     ['is resumed', { number: 2, changes: RESUMED }, 600],
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -135,7 +135,7 @@
     }
     const outcome = this.outcomes.findOutcome(spec.id);
     if (outcome !== undefined && !isNewAttempt(outcome, submission)) {
-      this.repeatOutcome(spec.id, owner, outcome);
+      this.repeatOutcome(spec.id, owner, outcome, nowMs);
       return;
     }
     const reportedTasks = this.completedTasks.takeTasks(spec.id);
@@ -344,7 +344,7 @@
       if (part !== undefined) {
         const { id } = job.spec;
         this.jobs.delete(id);
-        this.outcomes.recordOutcome(id, { kind: 'moved', part }, nowMs);
+        this.outcomes.recordOutcome(id, { kind: 'moved', part, owner }, nowMs);
         this.effects.push({ kind: 'move-job', owner, jobId: id, part, wasMovedBefore: false });
       }
     });
@@ -385,9 +385,18 @@
       case 'cancelled-early':
         this.outcomes.recordOutcome(id, { kind: 'cancelled-early' }, nowMs);
         return false;
+      case 'moved':
+        // Only the owner knows whether the other part has the job yet.
+        this.effects.push({
+          kind: 'end-job',
+          owner: outcome.owner,
+          jobId: id,
+          outcome: { kind: 'cancelled' },
+        });
+        this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
+        return true;
       case 'not-run':
       case 'unknown':
-      case 'moved':
         // The job may be submitted again; it must not start then.
         this.outcomes.recordOutcome(id, { kind: 'cancelled' }, nowMs);
         return true;
@@ -397,9 +406,15 @@
   }
 
   /** Tells the owner of another copy of a job how the job has ended here. */
-  private repeatOutcome(jobId: JobId, owner: InstanceName, outcome: RememberedOutcome): void {
+  private repeatOutcome(
+    jobId: JobId,
+    owner: InstanceName,
+    outcome: RememberedOutcome,
+    nowMs: number,
+  ): void {
     switch (outcome.kind) {
       case 'moved':
+        this.outcomes.recordOutcome(jobId, { ...outcome, owner }, nowMs);
         this.effects.push({
           kind: 'move-job',
           owner,
--- a/packages/kernel/src/engine/remembered-outcome.ts
+++ b/packages/kernel/src/engine/remembered-outcome.ts
@@ -1,3 +1,4 @@
+import type { InstanceName } from '../ids/instance-name';
 import type { PartId } from '../ids/part-id';
 import type { JobOutcome } from './job-outcome';
 
@@ -7,4 +8,4 @@
   /** The job was cancelled before it was submitted here; another part may be about to send it on. */
   | { readonly kind: 'cancelled-early' }
   /** No task was started here; the job was sent on to the leader of another part. */
-  | { readonly kind: 'moved'; readonly part: PartId };
+  | { readonly kind: 'moved'; readonly part: PartId; readonly owner: InstanceName };
