Links: a link that was given up takes no more messages

Cause: the leader closed a silent link but went on reading its stream; a submission that a partition had held back for 6 s arrived over it after the partition and counted as new, while the copy resumed at the domain's leader ran.

--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -45,12 +45,16 @@
     }
     // The generator never resumes if the peer stops reading, so the receiver and the ping timer close
     // the entry without waiting for the `finally` block below.
+    let isClosed = false;
     const close = (): void => {
+      isClosed = true;
       entry.endLink();
       this.host.closeEntry(part, name, entry);
     };
     const receive = async (): Promise<void> => {
-      for (let next = first; next.done !== true; next = await iterator.next()) {
+      // Messages that a network partition has held back arrive after the link has been given up. The entry
+      // instance has submitted their jobs elsewhere since then.
+      for (let next = first; next.done !== true && !isClosed; next = await iterator.next()) {
         entry.recordMessage();
         this.handleBatch(next.value, part, name, entry);
       }
--- /dev/null
+++ b/packages/instance/tests/link-service.test.ts
@@ -0,0 +1,59 @@
+/* eslint-disable no-await-in-loop -- drains a stream */
+import { create } from '@bufbuild/protobuf';
+import { systemClock } from '@guavaspindle/kernel/time/system-clock';
+import {
+  EntryBatchSchema,
+  type EntryBatch,
+} from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import { BatchQueue } from '../src/links/batch-queue';
+import { encodeJob } from '../src/links/encode-job';
+import { LinkService } from '../src/links/link-service';
+import { linkTiming } from '../src/links/link-timing';
+import { buildJobSubmission } from './fixtures/build-job-submission';
+
+describe('the link of an entry instance', () => {
+  beforeEach(() => {
+    jest.useFakeTimers();
+  });
+
+  afterEach(() => {
+    jest.useRealTimers();
+  });
+
+  // Guards against a second run of a job whose first submission a partition has held back.
+  it.each([
+    ['accepts a job in time', linkTiming.silenceTimeoutMs / 2, 1],
+    ['ignores a job that arrives after the link was given up', 3 * linkTiming.silenceTimeoutMs, 0],
+  ])('%s', async (_name, arrivesAfterMs, expected) => {
+    const submitted: string[] = [];
+    const service = new LinkService(
+      {
+        openEntry: () => 'all',
+        closeEntry() {},
+        submitJob: (_part, { spec }) => submitted.push(spec.id),
+        cancelJob: () => false,
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+    );
+    const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
+    requests.addToBatch((batch) => {
+      batch.hello = create(EntryBatchSchema, { hello: { instance: 'entry-1', part: 'all' } }).hello;
+    });
+    const replies = service.openLink(requests);
+    const read = async (): Promise<void> => {
+      let next = await replies.next();
+      while (next.done !== true) {
+        next = await replies.next();
+      }
+    };
+    void read();
+    await jest.advanceTimersByTimeAsync(arrivesAfterMs);
+    requests.addToBatch((batch) => batch.jobs.push(encodeJob(buildJobSubmission())));
+    await jest.advanceTimersByTimeAsync(20);
+    expect(submitted).toHaveLength(expected);
+    requests.close();
+    await jest.advanceTimersByTimeAsync(2_000);
+  });
+});
