Store mirrors: a dropped history costs no long pause, and the configuration is retried every 200 ms

Cause: the limits of a series add up. A call in progress times out (0.6 to 1.1 s), the pause had doubled to 0.8 s by then, the watch reports a dropped history, which cost the same pause again, and only then all keys are read: 2.7 s in the worst case of prefix-mirror.test.ts, bound 2 s. A dropped history is an answer, so the keys are read 50 ms later; the pause of the configuration's mirror ends at 200 ms. The other mirrors keep 0.8 s, which spares a store that refuses calls. Before: 'a change made at the end of an outage and the loss of the history' failed with 2,700 ms. After: passed; tests of instance and platform pass.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -28,7 +28,10 @@
 import { InstanceRegistry } from './registry/instance-registry';
 import { ConfigurationHolder } from './store/configuration-holder';
 import { FleetMirror } from './store/fleet-mirror';
+import type { MirrorListener } from './store/mirror-listener';
+import { mirrorTiming } from './store/mirror-timing';
 import { PrefixMirror } from './store/prefix-mirror';
+import type { PrefixMirrorOptions } from './store/prefix-mirror-options';
 
 /** Random bytes of an incarnation id: enough that no two processes get the same one. */
 const INCARNATION_BYTES = 8;
@@ -155,22 +158,24 @@
     isWriter: (layout) => elections.isLeadingFirstPart(layout),
     writeLayout: (layout) => registry.writeLayout(layout),
   });
-  const registryMirror = new PrefixMirror(
-    { prefix: InstanceRegistry.prefix, store, clock, log, watchPauseMs: 0 },
-    registry,
-  );
-  const mirrors = [
-    new PrefixMirror(
-      { prefix: storeKeys.configuration, store, clock, log, watchPauseMs: 0 },
-      configuration,
-    ),
+  const { maxRetryDelayMs, maxConfigurationRetryDelayMs } = mirrorTiming;
+  const buildMirror = (
+    prefix: string,
+    listener: MirrorListener,
+    changes: Partial<PrefixMirrorOptions> = {},
+  ): PrefixMirror =>
     new PrefixMirror(
-      { prefix: storeKeys.serversPrefix, store, clock, log, watchPauseMs: SERVER_WATCH_PAUSE_MS },
-      fleet,
-    ),
+      { prefix, store, clock, log, watchPauseMs: 0, maxRetryDelayMs, ...changes },
+      listener,
+    );
+  const registryMirror = buildMirror(InstanceRegistry.prefix, registry);
+  const mirrors = [
+    buildMirror(storeKeys.configuration, configuration, {
+      maxRetryDelayMs: maxConfigurationRetryDelayMs,
+    }),
+    buildMirror(storeKeys.serversPrefix, fleet, { watchPauseMs: SERVER_WATCH_PAUSE_MS }),
     registryMirror,
   ];
-
   metrics.observeStore(mirrors, () => configuration.findConfiguration()?.version);
 
   let isDraining = false;
--- a/packages/instance/src/store/prefix-mirror.ts
+++ b/packages/instance/src/store/prefix-mirror.ts
@@ -1,31 +1,12 @@
 /* eslint-disable no-await-in-loop -- watches run one at a time */
-import type Logger from 'bunyan';
-import type { Clock } from '@guavaspindle/kernel/time/clock';
-import type { StoreClient } from '@guavaspindle/platform-adapter/store/store-client';
 import type { StoreFailure } from '@guavaspindle/platform-adapter/store/store-failure';
 import type { MirrorListener } from './mirror-listener';
+import { mirrorTiming } from './mirror-timing';
+import type { PrefixMirrorOptions } from './prefix-mirror-options';
 
-/**
- * Longest wait of one watch, in milliseconds. A watch without an answer is detected after this time
- * plus the client's slack. Together they stay below the two seconds within which a configuration has
- * to be in force.
- */
-const MAX_WATCH_WAIT_MS = 700;
-/** Delay after a failed call; doubles with each further failure up to the maximum. */
-const INITIAL_RETRY_DELAY_MS = 50;
-const MAX_RETRY_DELAY_MS = 800;
 /** A mirror that has had no answer for this long may miss changes for longer than operators expect. */
 const STALE_AFTER_MS = 1_000;
 
-interface PrefixMirrorOptions {
-  readonly prefix: string;
-  readonly store: StoreClient;
-  readonly clock: Clock;
-  readonly log: Logger;
-  /** Pause between two watches in milliseconds, so that one call returns the changes of that time. */
-  readonly watchPauseMs: number;
-}
-
 /** Follows all keys under a prefix of the platform's store and passes changes to a listener. */
 export class PrefixMirror {
   /** When the store last answered, in monotonic milliseconds; undefined before the first answer. */
@@ -77,7 +58,7 @@
 
   /** Reads and follows the prefix until the mirror is closed; never rejects. */
   async run(): Promise<void> {
-    const { prefix, store, clock, watchPauseMs } = this.options;
+    const { prefix, store, clock, log, watchPauseMs } = this.options;
     let revision: number | undefined;
     while (!this.isClosed) {
       if (revision === undefined) {
@@ -90,7 +71,7 @@
           await this.handleFailure(snapshot.error);
         }
       } else {
-        const changes = await store.watchPrefix(prefix, revision, MAX_WATCH_WAIT_MS);
+        const changes = await store.watchPrefix(prefix, revision, mirrorTiming.maxWatchWaitMs);
         if (changes.isOk()) {
           this.recordAnswer();
           if (changes.value.events.length > 0) {
@@ -102,12 +83,14 @@
           if (watchPauseMs > 0) {
             await clock.pause(watchPauseMs);
           }
-        } else {
-          if (changes.error.kind === 'history-lost') {
+        } else if (changes.error.kind === 'history-lost') {
+            // The store has answered, so the keys are read without a longer pause.
+            log.info({ prefix, revision }, 'the store has dropped its history; reading all keys');
             revision = undefined;
+            await clock.pause(mirrorTiming.initialRetryDelayMs);
+          } else {
+            await this.handleFailure(changes.error);
           }
-          await this.handleFailure(changes.error);
-        }
       }
     }
   }
@@ -130,7 +113,7 @@
   }
 
   private async handleFailure(failure: StoreFailure): Promise<void> {
-    const { clock, log, prefix } = this.options;
+    const { clock, log, prefix, maxRetryDelayMs } = this.options;
     const answerAgeMs = this.computeAnswerAgeMs();
     if (this.failures === 0) {
       log.warn({ prefix, failure, answerAgeMs }, 'store call for this prefix failed; retrying');
@@ -139,15 +122,9 @@
       log.warn({ prefix, failure, answerAgeMs }, 'changes under this prefix may be missed');
     }
     this.lastFailure = failure;
-    if (failure.kind !== 'history-lost') {
-      this.failures += 1;
-      this.failedAtMs = clock.now();
-    }
-    await clock.pause(
-      Math.min(
-        MAX_RETRY_DELAY_MS,
-        INITIAL_RETRY_DELAY_MS * 2 ** Math.min(10, Math.max(0, this.failures - 1)),
-      ),
-    );
+    const doublings = Math.min(10, this.failures);
+    this.failures += 1;
+    this.failedAtMs = clock.now();
+    await clock.pause(Math.min(maxRetryDelayMs, mirrorTiming.initialRetryDelayMs * 2 ** doublings));
   }
 }
