--- a/packages/instance/src/store/prefix-mirror.ts
+++ b/packages/instance/src/store/prefix-mirror.ts
@@ -84,13 +84,13 @@
             await clock.pause(watchPauseMs);
           }
         } else if (changes.error.kind === 'history-lost') {
-            // The store has answered, so the keys are read without a longer pause.
-            log.info({ prefix, revision }, 'the store has dropped its history; reading all keys');
-            revision = undefined;
-            await clock.pause(mirrorTiming.initialRetryDelayMs);
-          } else {
-            await this.handleFailure(changes.error);
-          }
+          // The store has answered, so the keys are read without a longer pause.
+          log.info({ prefix, revision }, 'the store has dropped its history; reading all keys');
+          revision = undefined;
+          await clock.pause(mirrorTiming.initialRetryDelayMs);
+        } else {
+          await this.handleFailure(changes.error);
+        }
       }
     }
   }
