--- a/packages/instance/tests/whole-path.test.ts
+++ b/packages/instance/tests/whole-path.test.ts
@@ -157,6 +157,19 @@
     expect((await cluster.send(1, 'POST', JOB, buildJobBody(1, 20))).status).toBe(404);
   });
 
+  // Guards against a configuration that waits for one silent connection to the store after the other.
+  it('applies a new configuration within two seconds although all open connections to the store fell silent', async () => {
+    await pause(500);
+    cluster.store.setConnectionsSilent();
+    cluster.store.writeText('op/config', buildConfigurationText(9).replace('/q/', '/new/'));
+    await pause(2_000);
+    const lengths = await Promise.all([
+      cluster.send(1, 'GET', '/new/'),
+      cluster.send(2, 'GET', '/new/'),
+    ]);
+    expect(lengths.map(({ status }) => status)).toEqual([200, 200]);
+  });
+
   it('ignores store entries that describe no server', async () => {
     cluster.store.writeText('servers/broken', 'no JSON');
     cluster.store.writeText('servers/odd', JSON.stringify({ service: 'pedidos', address: 7 }));
