--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -276,7 +276,9 @@
     const { id } = this.server.report;
     this.wasConnectionRefused = false;
     if (this.unansweredCalls > 0) {
-      this.log.info({ server: id, unansweredCalls: this.unansweredCalls }, 'server answers again');
+      const { unansweredCalls } = this;
+      const { serverStartedAtMs: startedAtMs } = state;
+      this.log.info({ server: id, unansweredCalls, startedAtMs }, 'server answers again');
       this.unansweredCalls = 0;
     }
     if (
@@ -378,7 +380,10 @@
     const nowMs = this.clock.now();
     const runs = [...this.server.runs.values()];
     if (runs.length > 0) {
-      this.log.warn({ server: this.server.report.id, runs: runs.length, reason }, 'runs lost');
+      const { id } = this.server.report;
+      const startedAtMs = this.serverStartedAtMs;
+      const tasks = runs.map(({ task, run, state }) => ({ task, run, state }));
+      this.log.warn({ server: id, startedAtMs, tasks, reason }, 'runs lost');
     }
     runs.forEach((run) => {
       this.engine.endRun(this.server.report.id, run.task, run.run, 'lost', nowMs);
