Task crashes: a task under which two servers have crashed is given up, its job failed

One task crashed server after server: after each lapsed lease it started again at once, for as long as its job lived, and the server's other tasks with it. Cause: a run that was lost with its server counted as no fault of its task, without limit, and was forgotten along with its job, its leader and its entry instance. Class: an unbounded retry of the request that causes the failure. Now a ledger outlives the job. It holds, per task, the lives of servers that fell silent under it; the next answer of the server decides: the same life clears it, as after a partition, another life confirms a crash. Two confirmed crashes fail the job; with two undecided ones the task waits. A task with one never shares a server with another such task, and is alone on its server if an idle one can be kept, so that tasks that were only there are not blamed twice. Records go to the entry instances, which hand them to the next leader or another part with the job; owners hear of a silence at the first unanswered call, since the leader may end before the lease. A planned shutdown, a refused start and a listed end do not count. A server that is back in another life is used at once.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -1,4 +1,5 @@
 import type Logger from 'bunyan';
+import { CrashLedger } from '@guavaspindle/kernel/engine/crash-ledger';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobSpec } from '@guavaspindle/kernel/engine/job-spec';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
@@ -66,6 +67,9 @@
 
   private pendingByQueue: ReadonlyMap<string, number> = new Map();
 
+  /** What the leaders have reported; a later leader, or one of another part, does not know it yet. */
+  private readonly crashes = new CrashLedger();
+
   private readonly pendingCancels = new Map<JobId, PendingCancel>();
 
   constructor(private readonly options: EntryJobsOptions) {}
@@ -120,6 +124,11 @@
       reportDone: (id, task) => {
         this.jobs.get(id)?.doneTasks.add(task);
       },
+      reportCrash: (record) => this.crashes.addRecord(record, this.options.clock.now()),
+      reportLife: (serverId, startedAtMs) => {
+        // The leader ends the jobs of the tasks that this confirms.
+        this.crashes.resolveServer(serverId, startedAtMs);
+      },
       answerCancel: (id, isKnown) => this.answerCancel(part, id, isKnown),
       reportPending: (pending) => {
         this.pendingByQueue = pending;
@@ -350,6 +359,7 @@
       // A leader that was cut off along with this instance may have used servers whose entries expired.
       mayRunOnUnknownServers: job.mayRunOnUnknownServers || this.options.hasRecentStoreFailure(),
       isMoved: job.isMoved,
+      crashes: this.crashes.listRecords(job.spec.id),
     });
     job.mayRunOnUnknownServers = leader.isDomainOnly;
     job.mayHaveRun = true;
--- a/packages/instance/src/links/decode-job.ts
+++ b/packages/instance/src/links/decode-job.ts
@@ -5,6 +5,7 @@
 import type { ServiceName } from '@guavaspindle/kernel/ids/service-name';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { SubmittedJob } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import { decodeCrash } from './decode-crash';
 
 /** Decodes a job that the entry instance `owner` has submitted. */
 export function decodeJob(job: SubmittedJob, owner: InstanceName): EngineSubmission {
@@ -38,5 +39,6 @@
     priorRunsExpireInMs: job.runsMayLiveMs,
     mayRunOnUnknownServers: job.runsMayHide,
     isMoved: job.isMoved,
+    crashes: job.crashes.map(decodeCrash),
   };
 }
--- a/packages/instance/src/links/encode-job.ts
+++ b/packages/instance/src/links/encode-job.ts
@@ -4,6 +4,7 @@
   SubmittedJobSchema,
   type SubmittedJob,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import { encodeCrash } from './encode-crash';
 
 /** Encodes a job for submission to the leader. */
 export function encodeJob(submission: Omit<EngineSubmission, 'owner'>): SubmittedJob {
@@ -29,5 +30,6 @@
     runsMayLiveMs: Math.ceil(submission.priorRunsExpireInMs),
     runsMayHide: submission.mayRunOnUnknownServers,
     isMoved: submission.isMoved,
+    crashes: submission.crashes.map(encodeCrash),
   });
 }
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -1,7 +1,9 @@
+import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { PartLoad } from '@guavaspindle/kernel/layout/part-load';
 
@@ -11,6 +13,10 @@
   /** The job has not started; it is to be submitted to the leader of another part. */
   moveJob(id: JobId, part: PartId, wasMovedBefore: boolean): void;
   reportDone(id: JobId, task: TaskId): void;
+  /** A server crashed or fell silent while it ran a task, maybe of a job of another instance. */
+  reportCrash(record: CrashRecord): void;
+  /** The life of a server that began at this time, or else another one than before, has answered. */
+  reportLife(serverId: ServerId, startedAtMs: number | undefined): void;
   answerCancel(id: JobId, isKnown: boolean): void;
   /** Reports, by queue, the number of jobs of which no task has started. */
   reportPending(pending: ReadonlyMap<string, number>): void;
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -6,6 +6,7 @@
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import {
@@ -18,6 +19,7 @@
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import type { RegisteredInstance } from '../registry/registered-instance';
 import { BatchQueue } from './batch-queue';
+import { decodeCrash } from './decode-crash';
 import { decodeOutcome } from './decode-outcome';
 import { encodeJob } from './encode-job';
 import type { EntryPort } from './entry-port';
@@ -176,6 +178,10 @@
     if (batch.load !== undefined) {
       this.entry.reportLoad(batch.load);
     }
+    batch.crashes.forEach((crash) => this.entry.reportCrash(decodeCrash(crash)));
+    batch.lives.forEach(({ server, startedAtMs }) =>
+      this.entry.reportLife(server as ServerId, startedAtMs),
+    );
     batch.ended.forEach((ended) => this.entry.endJob(ended.id as JobId, decodeOutcome(ended)));
     batch.cancelAnswers.forEach(({ id, isKnown }) => this.entry.answerCancel(id as JobId, isKnown));
     const pending = Object.entries(batch.pending);
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -1,8 +1,10 @@
 import { create } from '@bufbuild/protobuf';
+import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { PartLoad } from '@guavaspindle/kernel/layout/part-load';
 import {
@@ -12,10 +14,12 @@
   LeaderBatchSchema,
   MovedJobSchema,
   PartLoadSchema,
+  ServerLifeSchema,
   type LeaderBatch,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { BatchQueue } from './batch-queue';
+import { encodeCrash } from './encode-crash';
 import { encodeOutcome } from './encode-outcome';
 import type { EntryPort } from './entry-port';
 import { linkTiming } from './link-timing';
@@ -69,6 +73,18 @@
     });
   }
 
+  reportCrash(record: CrashRecord): void {
+    this.batches.addToBatch((batch) => {
+      batch.crashes.push(encodeCrash(record));
+    });
+  }
+
+  reportLife(serverId: ServerId, startedAtMs: number | undefined): void {
+    this.batches.addToBatch((batch) => {
+      batch.lives.push(create(ServerLifeSchema, { server: serverId, startedAtMs }));
+    });
+  }
+
   answerCancel(id: JobId, isKnown: boolean): void {
     this.batches.addToBatch((batch) => {
       batch.cancelAnswers.push(create(CancelAnswerSchema, { id, isKnown }));
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -1,3 +1,4 @@
+import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
 import type { EngineEffect } from '@guavaspindle/kernel/engine/engine-effect';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import { JobEngine } from '@guavaspindle/kernel/engine/job-engine';
@@ -224,7 +225,7 @@
     const server = this.engine.fleet.findServer(id);
     const nowMs = this.options.clock.now();
     [...(server?.runs.values() ?? [])].forEach((run) => {
-      this.engine.endRun(id, run.task, run.run, 'lost', nowMs);
+      this.engine.endRun(id, run.task, run.run, 'unreachable', nowMs);
     });
     this.engine.fleet.dropServer(id);
   }
@@ -338,6 +339,15 @@
     this.engine.takeEffects().forEach((effect) => this.applyEffect(effect));
   }
 
+  private reportCrash(record: CrashRecord, owner: InstanceName | undefined): void {
+    if (owner === undefined) {
+      this.options.log.warn(record, 'server crashed or fell silent under a task');
+      this.entries.forEach((port) => port.reportCrash(record));
+    } else {
+      this.entries.get(owner)?.reportCrash(record);
+    }
+  }
+
   private applyEffect(effect: EngineEffect): void {
     switch (effect.kind) {
       case 'start-run':
@@ -358,6 +368,12 @@
       case 'move-job':
         this.entries.get(effect.owner)?.moveJob(effect.jobId, effect.part, effect.wasMovedBefore);
         return;
+      case 'report-crash':
+        this.reportCrash(effect.record, effect.owner);
+        return;
+      case 'report-life':
+        this.entries.forEach((port) => port.reportLife(effect.serverId, effect.startedAtMs));
+        return;
       case 'end-job':
         if (effect.owner !== undefined) {
           this.entries.get(effect.owner)?.endJob(effect.jobId, effect.outcome);
--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -3,6 +3,7 @@
 import type { EngineRun } from '@guavaspindle/kernel/engine/engine-run';
 import type { EngineServer } from '@guavaspindle/kernel/engine/engine-server';
 import type { JobEngine } from '@guavaspindle/kernel/engine/job-engine';
+import type { RunEnd } from '@guavaspindle/kernel/engine/run-end';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import type { OrderResult } from '@guavaspindle/platform-adapter/servers/order-result';
@@ -137,7 +138,7 @@
           this.options.onFenced();
           return;
         case 'other-life':
-          this.endAllRuns('another incarnation of the server answered');
+          this.handleOtherLife();
           return;
         case 'not-sent':
         case 'no-answer':
@@ -256,7 +257,7 @@
         await this.clock.pause(UNREACHABLE_PAUSE_MS);
         return;
       case 'other-life':
-        this.endAllRuns('another incarnation of the server answered');
+        this.handleOtherLife();
         await this.clock.pause(UNREACHABLE_PAUSE_MS);
         return;
       case 'no-answer':
@@ -275,20 +276,14 @@
     const nowMs = this.clock.now();
     const { id } = this.server.report;
     this.wasConnectionRefused = false;
-    if (this.unansweredCalls > 0) {
+    const hasBeenSilent = this.unansweredCalls > 0;
+    if (hasBeenSilent) {
       const { unansweredCalls } = this;
       const { serverStartedAtMs: startedAtMs } = state;
       this.log.info({ server: id, unansweredCalls, startedAtMs }, 'server answers again');
       this.unansweredCalls = 0;
     }
-    if (
-      this.serverStartedAtMs !== undefined &&
-      state.serverStartedAtMs !== this.serverStartedAtMs
-    ) {
-      this.endAllRuns('the server has restarted');
-      this.acknowledgedSequence = 0;
-    }
-    this.serverStartedAtMs = state.serverStartedAtMs;
+    this.recordLife(state.serverStartedAtMs, hasBeenSilent);
     this.clockOffsetMs = state.clockMs - nowMs;
     const wasUnconfirmed = this.server.state === 'unconfirmed';
     if (wasUnconfirmed) {
@@ -325,6 +320,28 @@
     }
   }
 
+  /** Records which life of the server has answered: another one than before has no runs of that one. */
+  private recordLife(startedAtMs: number, hasBeenSilent: boolean): void {
+    const isFirstAnswer = this.serverStartedAtMs === undefined;
+    const isOtherLife = !isFirstAnswer && startedAtMs !== this.serverStartedAtMs;
+    if (isOtherLife) {
+      this.endAllRuns('the server has restarted', 'crashed');
+      this.server.clearHealth();
+      this.acknowledgedSequence = 0;
+    }
+    this.serverStartedAtMs = startedAtMs;
+    this.server.lifeStartedAtMs = startedAtMs;
+    if (isFirstAnswer || isOtherLife || hasBeenSilent) {
+      this.engine.resolveServer(this.server.report.id, startedAtMs, this.clock.now());
+    }
+  }
+
+  private handleOtherLife(): void {
+    this.endAllRuns('another incarnation of the server answered', 'crashed');
+    this.engine.resolveServer(this.server.report.id, undefined, this.clock.now());
+    this.options.onChange();
+  }
+
   private adoptRun(task: TaskId, run: number): void {
     this.log.info(
       { server: this.server.report.id, task, run },
@@ -363,6 +380,8 @@
     const { id } = this.server.report;
     if (this.unansweredCalls === 0) {
       this.log.warn({ server: id, reason, runs: this.server.runs.size }, 'server does not answer');
+      this.engine.recordSilence(id, nowMs);
+      this.options.onChange();
     }
     this.unansweredCalls += 1;
     this.server.state = 'unconfirmed';
@@ -371,12 +390,12 @@
     }
     const maxLeaseTermMs = this.options.maxLeaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
     if (this.server.runs.size > 0 && nowMs >= this.leaseExtendedAtMs + maxLeaseTermMs) {
-      this.endAllRuns('leases have expired without an answer');
+      this.endAllRuns('leases have expired without an answer', 'unreachable');
     }
     await this.clock.pause(UNREACHABLE_PAUSE_MS);
   }
 
-  private endAllRuns(reason: string): void {
+  private endAllRuns(reason: string, runEnd: RunEnd): void {
     const nowMs = this.clock.now();
     const runs = [...this.server.runs.values()];
     if (runs.length > 0) {
@@ -386,7 +405,7 @@
       this.log.warn({ server: id, startedAtMs, tasks, reason }, 'runs lost');
     }
     runs.forEach((run) => {
-      this.engine.endRun(this.server.report.id, run.task, run.run, 'lost', nowMs);
+      this.engine.endRun(this.server.report.id, run.task, run.run, runEnd, nowMs);
     });
     this.options.onChange();
   }
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -100,6 +100,8 @@
     moveJob() {},
     reportDone() {},
     reportLoad() {},
+    reportCrash() {},
+    reportLife() {},
     answerCancel() {},
     reportPending() {},
     reportLeaving() {},
@@ -134,6 +136,7 @@
         priorRunsExpireInMs: 0,
         mayRunOnUnknownServers: false,
         isMoved: false,
+        crashes: [],
       };
       await new Promise<void>((resolve) => {
         resolveByJob.set(id, resolve);
--- a/packages/instance/tests/crashing-tasks.test.ts
+++ b/packages/instance/tests/crashing-tasks.test.ts
@@ -1,6 +1,9 @@
+/* eslint-disable no-await-in-loop -- cuts and changes of leader happen one after the other */
+import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import { buildJobSubmission } from './fixtures/build-job-submission';
 import { buildPool } from './fixtures/build-pool';
+import { buildServerReport } from './fixtures/build-server-report';
 import { FakeServer } from './fixtures/fake-server';
 
 /** Crashes after which a task may be started at most twice more. */
@@ -42,4 +45,113 @@
     expect(entry.outcomes.get(JOB.spec.id)).toMatchObject({ kind: 'failed' });
     pool.close();
   });
+
+  // Guards against a job that fails because its task was beside one that crashed the server.
+  it('completes a job whose task was only there when the server crashed', async () => {
+    const servers = buildServers(4, TASK);
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    const bystanders = [2, 3, 4, 5].map((number) => buildJobSubmission({ number }));
+    [JOB, ...bystanders].forEach((job) => pool.submitJob(job));
+    await jest.advanceTimersByTimeAsync(14_000);
+    expect(bystanders.map(({ spec }) => entry.outcomes.get(spec.id)?.kind)).toEqual(
+      bystanders.map(() => 'completed'),
+    );
+    expect(entry.outcomes.get(JOB.spec.id)).toMatchObject({ kind: 'failed' });
+    pool.close();
+  });
+
+  // Guards against network partitions that count as crashes.
+  it('completes a job whose servers were cut off one after the other', async () => {
+    const servers = buildServers(3);
+    servers.forEach((server) => {
+      server.runBehavior = { durationMs: 300, how: 'done' };
+    });
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(JOB);
+    for (let cut = 0; cut < 2; cut += 1) {
+      await jest.advanceTimersByTimeAsync(50);
+      const server = servers.find(({ running }) => running.has(TASK))!;
+      server.isCutOff = true;
+      setTimeout(() => {
+        server.isCutOff = false;
+      }, 4_000);
+      await jest.advanceTimersByTimeAsync(1_300);
+    }
+    const startsWhileUnknown = servers.reduce((sum, { starts }) => sum + starts.length, 0);
+    expect(startsWhileUnknown).toBe(2);
+    await jest.advanceTimersByTimeAsync(6_000);
+    expect(entry.outcomes.get(JOB.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  // Guards against a series of crashes that begins anew at each leader.
+  it('counts the crashes that earlier leaders have seen', async () => {
+    const servers = buildServers(8, TASK);
+    const crashes: CrashRecord[] = [];
+    for (let change = 0; change < 3; change += 1) {
+      const { pool, entry } = buildPool(servers, { token: 10 + change });
+      await jest.advanceTimersByTimeAsync(20);
+      pool.submitJob(
+        buildJobSubmission({ changes: { isResumed: change > 0, crashes: [...crashes] } }),
+      );
+      await jest.advanceTimersByTimeAsync(1_200);
+      crashes.push(...entry.crashes);
+      pool.close();
+    }
+    const { pool, entry } = buildPool(servers, { token: 20 });
+    pool.submitJob(buildJobSubmission({ changes: { isResumed: true, crashes } }));
+    await jest.advanceTimersByTimeAsync(14_000);
+    expect(countCrashes(servers)).toBeLessThanOrEqual(MAX_CRASHES);
+    expect(entry.outcomes.get(JOB.spec.id)).toMatchObject({ kind: 'failed' });
+    pool.close();
+  });
+
+  // Guards against a copy of a failed job that crashes servers again.
+  it('starts nothing of a copy that is submitted after its outcome was forgotten', async () => {
+    const servers = buildServers(8, TASK);
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(25_000);
+    const crashes = countCrashes(servers);
+    entry.outcomes.clear();
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(5_000);
+    expect(entry.outcomes.get(JOB.spec.id)).toMatchObject({ kind: 'failed' });
+    expect(countCrashes(servers)).toBe(crashes);
+    pool.close();
+  });
+
+  // Guards against a pause for servers that crashed through no fault of their own.
+  it('uses a crashed server as soon as it is back', async () => {
+    const servers = buildServers(1, TASK);
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(9_000);
+    expect(entry.outcomes.get(JOB.spec.id)).toMatchObject({ kind: 'failed' });
+    const other = buildJobSubmission({ number: 2 });
+    pool.submitJob(other);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(entry.outcomes.get(other.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  // Guards against a planned shutdown that counts as a crash.
+  it('counts no server that was draining when it fell silent', async () => {
+    const servers = buildServers(2);
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(10);
+    const index = servers.findIndex(({ running }) => running.has(TASK));
+    pool.adoptServer({ ...buildServerReport(index), isDraining: true });
+    servers[index]!.isCutOff = true;
+    await jest.advanceTimersByTimeAsync(2_000);
+    expect(entry.outcomes.get(JOB.spec.id)).toEqual({ kind: 'completed' });
+    expect(entry.crashes).toEqual([]);
+    pool.close();
+  });
 });
--- a/packages/kernel/src/engine/engine-effect.ts
+++ b/packages/kernel/src/engine/engine-effect.ts
@@ -3,6 +3,7 @@
 import type { PartId } from '../ids/part-id';
 import type { ServerId } from '../ids/server-id';
 import type { TaskId } from '../ids/task-id';
+import type { CrashRecord } from './crash-record';
 import type { JobOutcome } from './job-outcome';
 import type { StopReason } from './stop-reason';
 
@@ -40,6 +41,20 @@
       /** True if an earlier submission of the job was moved there, so that it may have run. */
       readonly wasMovedBefore: boolean;
     }
+  /** Tells instances that a server crashed or fell silent while it ran a task. */
+  | {
+      readonly kind: 'report-crash';
+      readonly record: CrashRecord;
+      /** The only instance to tell; all if undefined. */
+      readonly owner: InstanceName | undefined;
+    }
+  /** Tells all instances which life of a server has answered, to decide whether it had crashed. */
+  | {
+      readonly kind: 'report-life';
+      readonly serverId: ServerId;
+      /** Undefined if only known to be another life than those of the records. */
+      readonly startedAtMs: number | undefined;
+    }
   | {
       readonly kind: 'end-job';
       readonly owner: InstanceName | undefined;
--- a/packages/kernel/src/engine/engine-run.ts
+++ b/packages/kernel/src/engine/engine-run.ts
@@ -1,5 +1,6 @@
 import type { ServerId } from '../ids/server-id';
 import type { TaskId } from '../ids/task-id';
+import type { RunIsolation } from './run-isolation';
 import type { Resources } from './resources';
 
 /**
@@ -24,6 +25,7 @@
   answeredAtMs: number | undefined;
   /** True for a run that another leader started, until its job is submitted to this leader. */
   isUnclaimed: boolean;
+  readonly isolation: RunIsolation;
   /** Progress that the server last reported, 0 to 100. */
   percent: number;
 }
--- a/packages/kernel/src/engine/engine-server.ts
+++ b/packages/kernel/src/engine/engine-server.ts
@@ -1,5 +1,6 @@
 import type { TaskId } from '../ids/task-id';
 import type { EngineRun } from './engine-run';
+import type { RunIsolation } from './run-isolation';
 import type { Resources } from './resources';
 import type { ServerReport } from './server-report';
 
@@ -21,6 +22,9 @@
   /** Moving average of actual to expected run time; a value above 1 means a slow server. */
   slowness = 1;
 
+  /** Start of the life of the server that answered last, in Unix milliseconds; 0 if none has. */
+  lifeStartedAtMs = 0;
+
   private usedCpuMilli = 0;
 
   private usedMemoryMb = 0;
@@ -50,7 +54,12 @@
 
   /** Returns whether a run may be started here now. */
   canStart(nowMs: number): boolean {
-    if (this.state !== 'usable' || this.report.isDraining || this.hasUnclaimedRuns()) {
+    if (
+      this.state !== 'usable' ||
+      this.report.isDraining ||
+      this.hasUnclaimedRuns() ||
+      this.hasRunOfIsolation('alone')
+    ) {
       return false;
     }
     if (this.consecutiveFailures < FAILURES_TO_SUSPECT) {
@@ -73,6 +82,23 @@
     return false;
   }
 
+  /** Returns whether a run of this isolation is in progress here. */
+  hasRunOfIsolation(isolation: RunIsolation): boolean {
+    for (const run of this.runs.values()) {
+      if (run.isolation === isolation) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Forgets failures and run times, which say nothing about a new life of the server. */
+  clearHealth(): void {
+    this.consecutiveFailures = 0;
+    this.suspectUntilMs = 0;
+    this.slowness = 1;
+  }
+
   /**
    * Returns whether the most recent runs here failed or their starts went unanswered or refused.
    */
--- a/packages/kernel/src/engine/engine-submission.ts
+++ b/packages/kernel/src/engine/engine-submission.ts
@@ -1,5 +1,6 @@
 import type { InstanceName } from '../ids/instance-name';
 import type { TaskId } from '../ids/task-id';
+import type { CrashRecord } from './crash-record';
 import type { JobSpec } from './job-spec';
 
 /** A job as an entry instance submits it, with what the instance knows from an earlier leader. */
@@ -16,6 +17,8 @@
   readonly priorRunsExpireInMs: number;
   /** True if those runs may be on servers that this leader does not know. */
   readonly mayRunOnUnknownServers: boolean;
+  /** Servers that are known to have crashed or fallen silent under tasks of the job. */
+  readonly crashes: readonly CrashRecord[];
   /** True if the leader of another part has sent the job on; it is not moved a second time. */
   readonly isMoved: boolean;
 }
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -4,6 +4,8 @@
 import type { ServerId } from '../ids/server-id';
 import type { TaskId } from '../ids/task-id';
 import { buildEngineJob } from './build-engine-job';
+import { CrashLedger } from './crash-ledger';
+import type { CrashRecord } from './crash-record';
 import type { EngineEffect } from './engine-effect';
 import type { EngineJob } from './engine-job';
 import type { EngineRun } from './engine-run';
@@ -12,11 +14,13 @@
 import { parseJobIdOfTask } from './parse-job-id-of-task';
 import { CompletedTaskCache } from './completed-task-cache';
 import type { EngineSubmission } from './engine-submission';
+import { MAX_CRASHES } from './max-crashes';
 import type { JobOutcome } from './job-outcome';
 import type { RememberedOutcome } from './remembered-outcome';
 import type { PoolLoad } from './pool-load';
 import { RecentOutcomes } from './recent-outcomes';
 import type { RunEnd } from './run-end';
+import type { RunIsolation } from './run-isolation';
 import { RunScheduler } from './run-scheduler';
 import { StepRunTimeEstimator } from './step-run-time-estimator';
 import { ServerFleet } from './server-fleet';
@@ -94,7 +98,9 @@
 
   private readonly outcomes = new RecentOutcomes(OUTCOME_RETENTION_MS);
 
-  private readonly scheduler = new RunScheduler(this.fleet, this.runTimes);
+  private readonly crashes = new CrashLedger();
+
+  private readonly scheduler = new RunScheduler(this.fleet, this.runTimes, this.crashes);
 
   private readonly completedTasks = new CompletedTaskCache(OUTCOME_RETENTION_MS);
 
@@ -128,9 +134,11 @@
    */
   submitJob(submission: EngineSubmission, nowMs: number): void {
     const { spec, owner } = submission;
+    submission.crashes.forEach((record) => this.mergeCrash(record, nowMs));
     const known = this.jobs.get(spec.id);
     if (known !== undefined) {
       known.owner = owner;
+      this.failCrashingJob(known, nowMs);
       return;
     }
     const outcome = this.outcomes.findOutcome(spec.id);
@@ -145,7 +153,7 @@
     this.adoptRuns(job);
     if (job.remainingTasks === 0) {
       this.endJob(job, { kind: 'completed' }, nowMs);
-    } else if (!job.hasStarted && !this.canEverRun(job)) {
+    } else if (!this.failCrashingJob(job, nowMs) && !job.hasStarted && !this.canEverRun(job)) {
       this.refuseJob(job, 'no server has the capacity or the label', nowMs, true);
     }
   }
@@ -245,6 +253,9 @@
       return false;
     }
     server.dropRun(known);
+    if (runEnd === 'unreachable' || runEnd === 'crashed') {
+      this.recordCrash(server, taskId, runEnd === 'crashed', nowMs);
+    }
     const job = this.jobs.get(parseJobIdOfTask(taskId));
     const task = job?.tasks.find((candidate) => candidate.current === known);
     if (job !== undefined && task !== undefined) {
@@ -253,6 +264,38 @@
     return true;
   }
 
+  /**
+   * Records that a server has left a call unanswered. The instances that own the jobs of its runs are
+   * told, as this leader may end before it is known whether the server has crashed.
+   */
+  recordSilence(serverId: ServerId, nowMs: number): void {
+    const server = this.fleet.findServer(serverId);
+    server?.runs.forEach(({ task }) => {
+      const owner = this.jobs.get(parseJobIdOfTask(task))?.owner;
+      if (owner !== undefined) {
+        this.recordCrash(server, task, false, nowMs, owner);
+      }
+    });
+  }
+
+  /**
+   * Decides whether a server had crashed, by the life of it that has answered.
+   *
+   * @param startedAtMs - undefined if only known to be another life
+   */
+  resolveServer(serverId: ServerId, startedAtMs: number | undefined, nowMs: number): void {
+    const resolved = this.crashes.resolveServer(serverId, startedAtMs);
+    if (resolved.length > 0) {
+      this.effects.push({ kind: 'report-life', serverId, startedAtMs });
+    }
+    new Set(resolved.map(({ task }) => parseJobIdOfTask(task))).forEach((id) => {
+      const job = this.jobs.get(id);
+      if (job !== undefined) {
+        this.failCrashingJob(job, nowMs);
+      }
+    });
+  }
+
   /**
    * Adds a run that a server reports and this engine did not start. It holds its resources; without
    * an open job they are unknown, and the run is taken to hold the whole server.
@@ -271,6 +314,7 @@
       state: 'running',
       answeredAtMs: nowMs,
       isUnclaimed: true,
+      isolation: 'none',
       percent: 0,
     };
     server.addRun(adopted);
@@ -316,8 +360,8 @@
       });
     }
     const open = ranked.filter(({ job }) => this.jobs.has(job.spec.id));
-    this.scheduler.placeTasks(open, nowMs, ({ job, task, server }) =>
-      this.startRun(job, task, server, nowMs),
+    this.scheduler.placeTasks(open, nowMs, ({ job, task, server, isolation }) =>
+      this.startRun(job, task, server, isolation, nowMs),
     );
     if (isRefusalDue) {
       open.forEach(({ job, urgency }) => {
@@ -431,7 +475,13 @@
     }
   }
 
-  private startRun(job: EngineJob, task: EngineTask, server: EngineServer, nowMs: number): void {
+  private startRun(
+    job: EngineJob,
+    task: EngineTask,
+    server: EngineServer,
+    isolation: RunIsolation,
+    nowMs: number,
+  ): void {
     const step = job.spec.steps[task.step]!;
     const run: EngineRun = {
       task: task.id,
@@ -443,6 +493,7 @@
       state: 'starting',
       answeredAtMs: undefined,
       isUnclaimed: false,
+      isolation,
       percent: 0,
     };
     server.addRun(run);
@@ -496,11 +547,56 @@
       case 'lost':
         task.avoidedServers.add(run.serverId);
         return;
+      case 'unreachable':
+      case 'crashed':
+        task.avoidedServers.add(run.serverId);
+        this.failCrashingJob(job, nowMs);
+        return;
       default:
         runEnd satisfies never;
     }
   }
 
+  /** Records that a server crashed or fell silent under a task, unless it was about to leave anyway. */
+  private recordCrash(
+    server: EngineServer,
+    task: TaskId,
+    isConfirmed: boolean,
+    nowMs: number,
+    owner?: InstanceName,
+  ): void {
+    if (server.report.isDraining) {
+      return;
+    }
+    const { lifeStartedAtMs: serverStartedAtMs, report } = server;
+    const record = { task, serverId: report.id, serverStartedAtMs, isConfirmed };
+    this.crashes.addRecord(record, nowMs);
+    this.effects.push({ kind: 'report-crash', record, owner });
+  }
+
+  /** Adds a record that an earlier leader has made, and decides on it if the server has answered since. */
+  private mergeCrash(record: CrashRecord, nowMs: number): void {
+    this.crashes.addRecord(record, nowMs);
+    const server = this.fleet.findServer(record.serverId);
+    if (!record.isConfirmed && server?.state === 'usable') {
+      this.crashes.resolveServer(record.serverId, server.lifeStartedAtMs);
+    }
+  }
+
+  /** Ends a job of which a task has crashed too many servers; returns whether it has. */
+  private failCrashingJob(job: EngineJob, nowMs: number): boolean {
+    if (!this.crashes.hasRecords(job.spec.id)) {
+      return false;
+    }
+    const task = job.tasks.find(({ id }) => this.crashes.countCrashes(id) >= MAX_CRASHES);
+    if (task === undefined) {
+      return false;
+    }
+    const reason = `${MAX_CRASHES} servers crashed under task ${task.id}`;
+    this.endJob(job, { kind: 'failed', reason }, nowMs);
+    return true;
+  }
+
   private completeTask(job: EngineJob, task: EngineTask, run: number, nowMs: number): void {
     task.state = 'done';
     job.remainingByStep[task.step]! -= 1;
--- a/packages/kernel/tests/abandoned-jobs.test.ts
+++ b/packages/kernel/tests/abandoned-jobs.test.ts
@@ -40,6 +40,7 @@
     priorRunsExpireInMs: 0,
     mayRunOnUnknownServers: false,
     isMoved: false,
+    crashes: [],
     spec: {
       id: number.toString(16).padStart(16, '0') as JobId,
       specification: '',
--- a/packages/kernel/tests/job-engine.property.test.ts
+++ b/packages/kernel/tests/job-engine.property.test.ts
@@ -17,6 +17,8 @@
 const OTHER_PART = 'other' as PartId;
 const OPERATION_INTERVAL_MS = 20;
 const RUNS = 2_000;
+/** Servers that may crash under a task before it is given up. */
+const MAX_CRASHES = 2;
 const SEED = 20_261_204;
 
 const OPERATIONS = [
@@ -30,6 +32,8 @@
   'end-done',
   'end-failed',
   'restart-server',
+  'crash-server',
+  'silence-server',
   'drain-server',
   'drop-owner',
   'move',
@@ -46,7 +50,7 @@
 /**
  * A model of servers that execute orders, lose orders or lose answers. Asserts the invariants: no
  * task runs twice at a time, no server runs over its capacity, no start is ordered on a draining
- * server or for a cancelled, refused or moved job, and a job moves only while nothing of it runs or
+ * server, for a cancelled, refused or moved job or for a task under which servers have crashed, and a job moves only while nothing of it runs or
  * may still start.
  */
 class ClusterModel {
@@ -62,6 +66,9 @@
 
   private readonly movedJobs = new Set<JobId>();
 
+  /** The lives of servers that have ended under each task. */
+  private readonly crashedLives = new Map<TaskId, Set<string>>();
+
   private readonly demands = new Map<JobId, number>();
 
   private readonly drainingServers = new Set<ServerId>();
@@ -108,6 +115,10 @@
           .forEach((run) => this.endRun(run, 'lost'));
         break;
       }
+      case 'crash-server':
+      case 'silence-server':
+        this.endLife(choice % SERVERS, operation === 'crash-server' ? 'crashed' : 'unreachable');
+        break;
       case 'drain-server': {
         const index = choice % SERVERS;
         this.registerServer(index, !this.drainingServers.has(String(index) as ServerId));
@@ -125,6 +136,25 @@
     this.takeEffects();
   }
 
+  /** Ends the runs of a server that crashes; after a silence, the next life is heard of later. */
+  private endLife(index: number, runEnd: 'crashed' | 'unreachable'): void {
+    const id = String(index) as ServerId;
+    const server = this.engine.fleet.findServer(id)!;
+    const life = `${id}/${server.lifeStartedAtMs}`;
+    [...this.liveRuns.values()]
+      .filter(({ serverId }) => serverId === id)
+      .forEach((run) => {
+        if (!server.report.isDraining) {
+          this.crashedLives.set(run.task, (this.crashedLives.get(run.task) ?? new Set()).add(life));
+        }
+        this.endRun(run, runEnd);
+      });
+    server.lifeStartedAtMs += 1;
+    if (runEnd === 'crashed') {
+      this.engine.resolveServer(id, server.lifeStartedAtMs, this.nowMs);
+    }
+  }
+
   private registerServer(index: number, isDraining: boolean) {
     const id = String(index) as ServerId;
     if (isDraining) {
@@ -183,6 +213,7 @@
         priorRunsExpireInMs: 0,
         mayRunOnUnknownServers: false,
         isMoved: false,
+        crashes: [],
       },
       this.nowMs,
     );
@@ -197,6 +228,7 @@
           expect(this.refusedJobs.has(effect.jobId)).toBe(false);
           expect(this.movedJobs.has(effect.jobId)).toBe(false);
           expect(this.drainingServers.has(effect.serverId)).toBe(false);
+          expect(this.crashedLives.get(effect.task)?.size ?? 0).toBeLessThan(MAX_CRASHES);
           this.orders.push({ ...effect, kind: 'start' });
           break;
         }
@@ -214,6 +246,8 @@
           this.checkNothingStarted(effect.jobId);
           break;
         case 'report-done':
+        case 'report-crash':
+        case 'report-life':
           break;
         default:
           effect satisfies never;
