Task crashes: a server whose entry is gone from the store has crashed

An entry that stays missing without a drain now confirms the records of that life; the same life clears them if it answers after all, after a long partition.

--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -111,8 +111,13 @@
   dropServer(id: ServerId): void {
     const server = this.engine.fleet.findServer(id);
     if (server !== undefined) {
+      const nowMs = this.options.clock.now();
+      if (!server.report.isDraining) {
+        // A crashed server may come back under another id; one that was only cut off clears this itself.
+        this.engine.resolveServer(id, undefined, nowMs);
+      }
       server.report = { ...server.report, isDraining: true };
-      this.deregisteredServers.set(id, this.options.clock.now());
+      this.deregisteredServers.set(id, nowMs);
       this.sessions.get(id)?.requestConfirmation();
     }
   }
--- a/packages/instance/tests/crashing-tasks.test.ts
+++ b/packages/instance/tests/crashing-tasks.test.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- cuts and changes of leader happen one after the other */
 import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import { buildJobSubmission } from './fixtures/build-job-submission';
 import { buildPool } from './fixtures/build-pool';
@@ -8,6 +9,8 @@
 
 /** Crashes after which a task may be started at most twice more. */
 const MAX_CRASHES = 3;
+/** Time until the entry of a crashed server is gone from the store for good. */
+const ENTRY_EXPIRY_MS = 7_000;
 const JOB = buildJobSubmission();
 const TASK = `${JOB.spec.id}.0.0.0` as TaskId;
 
@@ -46,6 +49,27 @@
     pool.close();
   });
 
+  // Guards against a job that ends neither way because the crashed servers return under other ids.
+  it('gives up a task under which servers have crashed that are gone from the store', async () => {
+    const servers = buildServers(8, TASK);
+    const { pool, entry } = buildPool(servers);
+    servers.forEach((server) => {
+      server.staysDown = true;
+    });
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(ENTRY_EXPIRY_MS);
+    servers.forEach(({ crashes }, index) => {
+      if (crashes > 0) {
+        pool.dropServer(String(index) as ServerId);
+      }
+    });
+    await jest.advanceTimersByTimeAsync(100);
+    expect(countCrashes(servers)).toBeLessThanOrEqual(MAX_CRASHES);
+    expect(entry.outcomes.get(JOB.spec.id)).toMatchObject({ kind: 'failed' });
+    pool.close();
+  });
+
   // Guards against a job that fails because its task was beside one that crashed the server.
   it('completes a job whose task was only there when the server crashed', async () => {
     const servers = buildServers(4, TASK);
--- a/packages/kernel/src/engine/crash-ledger.ts
+++ b/packages/kernel/src/engine/crash-ledger.ts
@@ -40,7 +40,8 @@
    * Decides what happened to a server that had fallen silent: in the same life it has not crashed, and its
    * records are removed; any other life confirms them.
    *
-   * @param startedAtMs - start of the life that has answered; undefined if only known to be another one
+   * @param startedAtMs - start of the life that has answered; undefined if the earlier one is taken to
+   *   have ended
    * @returns the tasks whose records were decided on, and whether they are confirmed now
    */
   resolveServer(
@@ -50,10 +51,10 @@
     const resolved: { readonly task: TaskId; readonly isConfirmed: boolean }[] = [];
     this.jobs.forEach(({ records }) => {
       records.forEach((record, key) => {
-        if (record.serverId !== serverId || record.isConfirmed) {
+        const isConfirmed = record.serverStartedAtMs !== startedAtMs;
+        if (record.serverId !== serverId || (isConfirmed && record.isConfirmed)) {
           return;
         }
-        const isConfirmed = record.serverStartedAtMs !== startedAtMs;
         if (isConfirmed) {
           records.set(key, { ...record, isConfirmed });
         } else {
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -578,7 +578,7 @@
   private mergeCrash(record: CrashRecord, nowMs: number): void {
     this.crashes.addRecord(record, nowMs);
     const server = this.fleet.findServer(record.serverId);
-    if (!record.isConfirmed && server?.state === 'usable') {
+    if (server?.state === 'usable') {
       this.crashes.resolveServer(record.serverId, server.lifeStartedAtMs);
     }
   }
--- a/packages/kernel/tests/crash-ledger.test.ts
+++ b/packages/kernel/tests/crash-ledger.test.ts
@@ -45,11 +45,15 @@
     ]);
   });
 
-  it('keeps a confirmed crash when the next life answers', () => {
+  it.each<[string, number, number]>([
+    ['keeps a confirmed crash when the next life answers', 2, 1],
+    ['clears one that was taken for granted when the same life answers after all', 1, 0],
+  ])('%s', (_name, startedAtMs, crashes) => {
     const ledger = new CrashLedger();
-    ledger.addRecord(buildRecord({ isConfirmed: true }), 0);
-    expect(ledger.resolveServer(SERVER, 1)).toEqual([]);
-    expect(ledger.countCrashes(TASK)).toBe(1);
+    ledger.addRecord(buildRecord(), 0);
+    ledger.resolveServer(SERVER, undefined);
+    ledger.resolveServer(SERVER, startedAtMs);
+    expect(ledger.countCrashes(TASK)).toBe(crashes);
   });
 
   it('evicts jobs whose last record is older than the retention period', () => {
