--- a/packages/kernel/src/engine/engine-server.ts
+++ b/packages/kernel/src/engine/engine-server.ts
@@ -31,6 +31,8 @@
 
   private usedGpus = 0;
 
+  private readonly runsByIsolation: Record<RunIsolation, number> = { none: 0, apart: 0, alone: 0 };
+
   private consecutiveFailures = 0;
 
   private suspectUntilMs = 0;
@@ -84,12 +86,7 @@
 
   /** Returns whether a run of this isolation is in progress here. */
   hasRunOfIsolation(isolation: RunIsolation): boolean {
-    for (const run of this.runs.values()) {
-      if (run.isolation === isolation) {
-        return true;
-      }
-    }
-    return false;
+    return this.runsByIsolation[isolation] > 0;
   }
 
   /** Forgets failures and run times, which say nothing about a new life of the server. */
@@ -112,6 +109,7 @@
     this.usedCpuMilli += run.demand.cpuMilli;
     this.usedMemoryMb += run.demand.memoryMb;
     this.usedGpus += run.demand.gpus;
+    this.runsByIsolation[run.isolation] += 1;
   }
 
   /** Removes a run and releases its resources. */
@@ -123,6 +121,7 @@
     this.usedCpuMilli -= run.demand.cpuMilli;
     this.usedMemoryMb -= run.demand.memoryMb;
     this.usedGpus -= run.demand.gpus;
+    this.runsByIsolation[run.isolation] -= 1;
   }
 
   /** Records a completed run; `ratio` is its duration divided by the expected one. */
