Server sessions: a restart of a server ends only the runs of its earlier life

A leader that learned of a restart ended every run that it knew on the server, also one that the new life had accepted or was about to: the run counted as crashed with the server, its task could start elsewhere, and the listed run was adopted again. Ended now are runs that the new life does not list; one whose order is on its way is decided by the order's own answer. Before: crashing-tasks.test.ts, 'started after its server had restarted', blamed the later task. After: passed.

--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -283,7 +283,7 @@
       this.log.info({ server: id, unansweredCalls, startedAtMs }, 'server answers again');
       this.unansweredCalls = 0;
     }
-    this.recordLife(state.serverStartedAtMs, hasBeenSilent);
+    this.recordLife(state, hasBeenSilent);
     this.clockOffsetMs = state.clockMs - nowMs;
     const wasUnconfirmed = this.server.state === 'unconfirmed';
     if (wasUnconfirmed) {
@@ -320,12 +320,26 @@
     }
   }
 
-  /** Records which life of the server has answered: another one than before has no runs of that one. */
-  private recordLife(startedAtMs: number, hasBeenSilent: boolean): void {
+  /**
+   * Records which life of the server has answered. Another one than before has only the runs that it
+   * lists, and maybe those whose orders are on their way.
+   */
+  private recordLife(
+    {
+      serverStartedAtMs: startedAtMs,
+      running,
+      ended,
+    }: Extract<LeaseRenewalResult, { kind: 'state' }>,
+    hasBeenSilent: boolean,
+  ): void {
     const isFirstAnswer = this.serverStartedAtMs === undefined;
     const isOtherLife = !isFirstAnswer && startedAtMs !== this.serverStartedAtMs;
     if (isOtherLife) {
-      this.endAllRuns('the server has restarted', 'crashed');
+      const listed = new Set([...running, ...ended].map(({ task, run }) => `${task}/${run}`));
+      const earlier = [...this.server.runs.values()].filter(
+        ({ task, run, state }) => state !== 'starting' && !listed.has(`${task}/${run}`),
+      );
+      this.endRuns(earlier, 'the server has restarted', 'crashed');
       this.server.clearHealth();
       this.acknowledgedSequence = 0;
     }
@@ -337,7 +351,8 @@
   }
 
   private handleOtherLife(): void {
-    this.endAllRuns('another incarnation of the server answered', 'crashed');
+    const runs = [...this.server.runs.values()];
+    this.endRuns(runs, 'another incarnation of the server answered', 'crashed');
     this.engine.resolveServer(this.server.report.id, undefined, this.clock.now());
     this.options.onChange();
   }
@@ -390,14 +405,14 @@
     }
     const maxLeaseTermMs = this.options.maxLeaseMs * MAX_CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS;
     if (this.server.runs.size > 0 && nowMs >= this.leaseExtendedAtMs + maxLeaseTermMs) {
-      this.endAllRuns('leases have expired without an answer', 'unreachable');
+      const runs = [...this.server.runs.values()];
+      this.endRuns(runs, 'leases have expired without an answer', 'unreachable');
     }
     await this.clock.pause(UNREACHABLE_PAUSE_MS);
   }
 
-  private endAllRuns(reason: string, runEnd: RunEnd): void {
+  private endRuns(runs: readonly EngineRun[], reason: string, runEnd: RunEnd): void {
     const nowMs = this.clock.now();
-    const runs = [...this.server.runs.values()];
     if (runs.length > 0) {
       const { id } = this.server.report;
       const startedAtMs = this.serverStartedAtMs;
--- a/packages/instance/tests/crashing-tasks.test.ts
+++ b/packages/instance/tests/crashing-tasks.test.ts
@@ -163,6 +163,24 @@
     pool.close();
   });
 
+  // Guards against crashes that are charged to runs which the next life of a server has accepted.
+  it('counts no task that was started after its server had restarted', async () => {
+    const server = new FakeServer();
+    server.runBehavior = { durationMs: 3_000, how: 'done' };
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(150);
+    server.restart(0);
+    await jest.advanceTimersByTimeAsync(1);
+    const later = buildJobSubmission({ number: 2 });
+    pool.submitJob(later);
+    await jest.advanceTimersByTimeAsync(8_000);
+    expect(new Set(entry.crashes.map(({ task }) => task))).toEqual(new Set([TASK]));
+    expect(entry.outcomes.get(later.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
   // Guards against a planned shutdown that counts as a crash.
   it('counts no server that was draining when it fell silent', async () => {
     const servers = buildServers(2);
