--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -15,7 +15,7 @@
   reportDone(id: JobId, task: TaskId): void;
   /** A server crashed or fell silent while it ran a task, maybe of a job of another instance. */
   reportCrash(record: CrashRecord): void;
-  /** The life of a server that began at this time, or else another one than before, has answered. */
+  /** The life of a server that began at this time has answered; undefined if the earlier life has ended. */
   reportLife(serverId: ServerId, startedAtMs: number | undefined): void;
   answerCancel(id: JobId, isKnown: boolean): void;
   /** Reports, by queue, the number of jobs of which no task has started. */
--- a/packages/instance/src/store/prefix-mirror.ts
+++ b/packages/instance/src/store/prefix-mirror.ts
@@ -4,7 +4,7 @@
 import { mirrorTiming } from './mirror-timing';
 import type { PrefixMirrorOptions } from './prefix-mirror-options';
 
-/** A mirror that has had no answer for this long may miss changes for longer than operators expect. */
+/** A mirror logs once when it has had no answer for this long, in milliseconds. */
 const STALE_AFTER_MS = 1_000;
 
 /** Follows all keys under a prefix of the platform's store and passes changes to a listener. */
--- a/packages/kernel/src/engine/engine-effect.ts
+++ b/packages/kernel/src/engine/engine-effect.ts
@@ -48,11 +48,11 @@
       /** The only instance to tell; all if undefined. */
       readonly owner: InstanceName | undefined;
     }
-  /** Tells all instances which life of a server has answered, to decide whether it had crashed. */
+  /** Tells all instances which life of a server has answered, which decides whether it had crashed. */
   | {
       readonly kind: 'report-life';
       readonly serverId: ServerId;
-      /** Undefined if only known to be another life than those of the records. */
+      /** Undefined if the earlier life is taken to have ended. */
       readonly startedAtMs: number | undefined;
     }
   | {
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -281,7 +281,7 @@
   /**
    * Decides whether a server had crashed, by the life of it that has answered.
    *
-   * @param startedAtMs - undefined if only known to be another life
+   * @param startedAtMs - undefined if the earlier life is taken to have ended
    */
   resolveServer(serverId: ServerId, startedAtMs: number | undefined, nowMs: number): void {
     const resolved = this.crashes.resolveServer(serverId, startedAtMs);
