--- a/packages/kernel/tests/abandoned-jobs.test.ts
+++ b/packages/kernel/tests/abandoned-jobs.test.ts
@@ -1,71 +1,11 @@
-import { JobEngine } from '../src/engine/job-engine';
+import type { JobEngine } from '../src/engine/job-engine';
 import type { EngineEffect } from '../src/engine/engine-effect';
 import type { EngineSubmission } from '../src/engine/engine-submission';
-import type { DomainName } from '../src/ids/domain-name';
-import type { InstanceName } from '../src/ids/instance-name';
-import type { JobId } from '../src/ids/job-id';
-import type { QueueName } from '../src/ids/queue-name';
 import type { ServerId } from '../src/ids/server-id';
-import type { ServiceName } from '../src/ids/service-name';
+import { buildEngine } from './fixtures/build-engine';
+import { buildEngineSubmission } from './fixtures/build-engine-submission';
 
 const SERVER = 'server-1' as ServerId;
-const SERVICE = 'service' as ServiceName;
-
-/** Builds an engine with one server that runs two tasks at a time. */
-function buildEngine(): JobEngine {
-  const engine = new JobEngine();
-  engine.fleet.registerServer({
-    id: SERVER,
-    service: SERVICE,
-    domain: 'domain-1' as DomainName,
-    address: '127.0.0.1:1',
-    bornMs: 1,
-    capacity: { cpuMilli: 64_000, memoryMb: 262_144, gpus: 0 },
-    labels: [],
-    isDraining: false,
-  }).state = 'usable';
-  return engine;
-}
-
-/**
- * Builds a job of tasks of 100 ms each. Its objective is 220 ms after arrival; after 660 ms its
- * result is useless.
- */
-function buildJob(number: number, taskCount = 1): EngineSubmission {
-  return {
-    owner: 'entry-1' as InstanceName,
-    ageMs: 0,
-    doneTasks: new Set(),
-    isResumed: false,
-    priorRunsExpireInMs: 0,
-    mayRunOnUnknownServers: false,
-    isMoved: false,
-    crashes: [],
-    spec: {
-      id: number.toString(16).padStart(16, '0') as JobId,
-      specification: '',
-      queue: {
-        name: 'queue' as QueueName,
-        service: SERVICE,
-        priority: 0,
-        maxAttempts: 2,
-        stretch: 1.6,
-        targetMs: 60,
-      },
-      steps: [
-        {
-          taskCount,
-          demand: { cpuMilli: 30_000, memoryMb: 64, gpus: 0 },
-          estimatedMs: 100,
-          after: [],
-          requiredLabel: undefined,
-          preferredRack: undefined,
-          maxPerServer: undefined,
-        },
-      ],
-    },
-  };
-}
 
 /** Submits jobs at the same time and returns the effects of the first scheduling pass. */
 function submitAll(
@@ -92,7 +32,7 @@
    */
   function buildPartlyRunJob(): { readonly engine: JobEngine; readonly job: EngineSubmission } {
     const engine = buildEngine();
-    const job = buildJob(1, 3);
+    const job = buildEngineSubmission(1, { taskCount: 3 });
     submitAll(engine, [job], 0);
     const [first, second] = [0, 1].map((index) => `${job.spec.id}.0.0.${index}`);
     const runs = [...engine.fleet.findServer(SERVER)!.runs.values()];
