Task crashes: a done task fails no job

A record can outlast the run that completed its task. Two of them, confirmed later, failed a job whose remaining tasks were harmless. Found on reading the diff. Before: suspect-placement.test.ts, 'fails no job for a done task', got the end of the job in place of a start. After: passed.

--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -588,7 +588,9 @@
     if (!this.crashes.hasRecords(job.spec.id)) {
       return false;
     }
-    const task = job.tasks.find(({ id }) => this.crashes.countCrashes(id) >= MAX_CRASHES);
+    const task = job.tasks.find(
+      ({ id, state }) => state !== 'done' && this.crashes.countCrashes(id) >= MAX_CRASHES,
+    );
     if (task === undefined) {
       return false;
     }
--- a/packages/kernel/tests/suspect-placement.test.ts
+++ b/packages/kernel/tests/suspect-placement.test.ts
@@ -43,4 +43,29 @@
   ])('%s', (_name, servers, silencesByJob, runs) => {
     expect(countRuns(buildEngine(servers), silencesByJob)).toEqual(runs);
   });
+
+  // Guards against a job that fails for crashes which no further start can follow.
+  it.each<[string, boolean, string[]]>([
+    ['fails a job of which a waiting task has crashed two servers', false, ['failed']],
+    ['completes one whose task is done all the same', true, ['completed']],
+  ])('%s', (_name, isDone, outcomes) => {
+    const engine = buildEngine();
+    const job = buildSuspectJob(1, 2);
+    const crashes = job.crashes.map((record) => ({ ...record, isConfirmed: true }));
+    const doneTasks = new Set(isDone ? crashes.map(({ task }) => task) : []);
+    engine.submitJob({ ...job, crashes, doneTasks, isResumed: true }, 0);
+    const ends = engine.takeEffects().filter((effect) => effect.kind === 'end-job');
+    expect(ends.map(({ outcome }) => outcome.kind)).toEqual(outcomes);
+  });
+
+  it('fails no job for a done task while another one is open', () => {
+    const engine = buildEngine();
+    const { spec } = buildEngineSubmission(1, { taskCount: 2 });
+    const { crashes } = buildSuspectJob(1, 2);
+    const confirmed = crashes.map((record) => ({ ...record, isConfirmed: true }));
+    const doneTasks = new Set(confirmed.map(({ task }) => task));
+    engine.submitJob({ ...buildSuspectJob(1, 0), spec, crashes: confirmed, doneTasks }, 0);
+    engine.schedule(0);
+    expect(engine.takeEffects().map(({ kind }) => kind)).toEqual(['start-run']);
+  });
 });
