Layout planner: no layout is written while no division is due

Cause: the description of an unchanged plan was '', which never equals that of the present layout. Change: both are described the same way. Test: layout-planner (0, 8 and 64 servers) failed before, passes now.

--- a/packages/instance/src/lead/layout-planner.ts
+++ b/packages/instance/src/lead/layout-planner.ts
@@ -38,7 +38,7 @@
     const next = computeLayout(listServers(), current);
     const nowMs = clock.now();
     // The boundaries follow each server that comes or goes; what has to be stable is the number of parts.
-    const planned = next === current ? '' : describeLayout(next);
+    const planned = describeLayout(next);
     if (planned !== this.planned || planned === describeLayout(current) || !isWriter(current)) {
       this.planned = planned;
       this.plannedSinceMs = nowMs;
