Registry: an unreadable claim or layout no longer blocks writes; records of others are checked

Callers would see: no leader for a part, for ever, once another writer had left an odd claim. Cause: writes expect the revision of the last readable record, so the store refused them. The revision of every record is kept now, readable or not, and 0 for a deleted one.

--- a/packages/instance/src/registry/instance-registry.ts
+++ b/packages/instance/src/registry/instance-registry.ts
@@ -26,7 +26,11 @@
 
   private layout: PoolLayout = new Map<DomainName, readonly number[]>();
 
-  private layoutRevision = 0;
+  /**
+   * Store revisions of the claims and the layout, which a write has to expect; also of records that are
+   * invalid, and 0 for deleted ones.
+   */
+  private readonly revisions = new Map<string, number>();
 
   private readonly instances = new Map<InstanceName, RegisteredInstance>();
 
@@ -63,7 +67,7 @@
     const written = await this.store.commitWrite({
       key: LAYOUT_KEY,
       text: JSON.stringify(Object.fromEntries(layout)),
-      expectedRevision: this.layoutRevision,
+      expectedRevision: this.findRevision(LAYOUT_KEY),
     });
     if (written.isErr()) {
       this.log.warn({ failure: written.error }, 'could not write the layout to the store');
@@ -95,6 +99,11 @@
         this.instances.delete(name);
       }
     });
+    this.revisions.forEach((_revision, key) => {
+      if (!listed.has(key)) {
+        this.revisions.set(key, 0);
+      }
+    });
     items.forEach((item) => this.applyItem(item));
     this.onChange();
   }
@@ -103,6 +112,8 @@
     events.forEach((event) => {
       if (event.kind === 'written') {
         this.applyItem(event.item);
+      } else if (this.revisions.has(event.key)) {
+        this.revisions.set(event.key, 0);
       } else if (event.key.startsWith(INSTANCES_PREFIX)) {
         this.instances.delete(event.key.slice(INSTANCES_PREFIX.length) as InstanceName);
       }
@@ -163,30 +174,44 @@
    * unknown
    */
   async claimLeadership(part: PartId): Promise<LeadershipClaim | undefined> {
-    const expectedRevision = this.claims.get(part)?.revision ?? 0;
+    const expectedRevision = this.findRevision(LEADERS_PREFIX + part);
     const written = await this.store.commitWrite({
       key: LEADERS_PREFIX + part,
       text: JSON.stringify(this.self),
       expectedRevision,
     });
     if (written.isOk() && written.value.kind === 'written') {
+      this.revisions.set(LEADERS_PREFIX + part, written.value.revision);
       this.applyClaim(part, { leader: this.self, revision: written.value.revision });
     } else {
       // Another instance wrote its claim first, or the reply was lost after the write.
       await this.readNow();
     }
     const claim = this.findClaim(part);
-    const isNew = claim !== undefined && claim.revision !== expectedRevision;
+    const isNew = claim !== undefined && claim.revision > expectedRevision;
     return isNew && claim.leader.incarnation === this.self.incarnation ? claim : undefined;
   }
 
+  private findRevision(key: string): number {
+    return this.revisions.get(key) ?? 0;
+  }
+
   private applyItem({ key, text, revision }: StoreItem): void {
+    if (key === LAYOUT_KEY || key.startsWith(LEADERS_PREFIX)) {
+      if (revision < this.findRevision(key)) {
+        return;
+      }
+      this.revisions.set(key, revision);
+    }
     if (key === LAYOUT_KEY) {
       this.applyLayout(text, revision);
       return;
     }
     const instance = parseRegisteredInstance(text);
-    if (instance === undefined) {
+    if (
+      instance === undefined ||
+      (key.startsWith(INSTANCES_PREFIX) && key !== INSTANCES_PREFIX + instance.name)
+    ) {
       this.log.warn({ key, revision }, 'ignoring an invalid instance record in the store');
       return;
     }
@@ -210,9 +235,8 @@
     const layout = parseLayout(text);
     if (layout === undefined) {
       this.log.error({ revision }, 'ignoring an invalid layout in the store');
-    } else if (revision > this.layoutRevision) {
+    } else {
       this.layout = layout;
-      this.layoutRevision = revision;
     }
   }
 }
--- a/packages/instance/src/registry/registered-instance.ts
+++ b/packages/instance/src/registry/registered-instance.ts
@@ -1,3 +1,4 @@
+import type { NetworkAddress } from '@guavaspindle/kernel/address/network-address';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
@@ -9,6 +10,6 @@
   readonly incarnation: IncarnationId;
   /** Processor capacity of the machine, in cores. */
   readonly cores: number;
-  /** `host:port` at which the instance serves the protocol between instances. */
-  readonly address: string;
+  /** Address at which the instance serves the protocol between instances. */
+  readonly address: NetworkAddress;
 }
