Links: one odd job or amount no longer ends the link with all its jobs

Callers would see: every job of an entry instance lost again and again after one job with a fractional or huge amount, or a configuration with a fractional number of attempts. Cause: messages between instances carry 32-bit whole numbers; serialization threw, which closed the link, and the job was sent again on the next one. A submission that throws fails that job only, as 'unknown'. Timers are limited to what the runtime can wait for: a deadline beyond 2^31 ms fired at once.

--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- messages are handled one at a time */
 import { create } from '@bufbuild/protobuf';
 import type { ServiceImpl } from '@connectrpc/connect';
+import type Logger from 'bunyan';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
@@ -14,6 +15,7 @@
   type InstanceService,
   type LeaderBatch,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import { runIsolated } from '../process/run-isolated';
 import { decodeJob } from './decode-job';
 import type { LinkHost } from './link-host';
 import { linkTiming } from './link-timing';
@@ -24,6 +26,7 @@
   constructor(
     private readonly host: LinkHost,
     private readonly clock: Clock,
+    private readonly log: Logger,
   ) {}
 
   getView({ part }: GetViewRequest): GetViewResponse {
@@ -59,9 +62,11 @@
         this.handleBatch(next.value, part, name, entry);
       }
     };
-    // A failed stream closes the entry like one that ends, so the error itself is not needed.
+    // A failed stream closes the entry like one that ends.
     void receive()
-      .catch(() => {})
+      .catch((error: unknown) => {
+        this.log.debug({ entry: name, part, err: error }, 'link from an entry instance failed');
+      })
       .finally(close);
     const hasTimedOut = (): boolean =>
       this.clock.now() - entry.heardAtMs > linkTiming.silenceTimeoutMs;
@@ -92,13 +97,23 @@
     name: InstanceName,
     entry: RemoteEntry,
   ): void {
-    batch.jobs.forEach((job) => this.host.submitJob(part, decodeJob(job, name)));
-    batch.cancels.forEach(({ id, callerLeft }) => {
-      if (callerLeft) {
-        this.host.dropCaller(part, id as JobId, name);
-      } else {
-        entry.answerCancel(id as JobId, this.host.cancelJob(part, id as JobId));
+    batch.jobs.forEach((job) => {
+      const id = job.id as JobId;
+      const isSubmitted = runIsolated(this.log, { job: id, entry: name }, () =>
+        this.host.submitJob(part, decodeJob(job, name)),
+      );
+      if (!isSubmitted) {
+        entry.endJob(id, { kind: 'unknown', reason: 'unexpected error of the leader' });
       }
     });
+    batch.cancels.forEach(({ id, callerLeft }) => {
+      runIsolated(this.log, { job: id, entry: name }, () => {
+        if (callerLeft) {
+          this.host.dropCaller(part, id as JobId, name);
+        } else {
+          entry.answerCancel(id as JobId, this.host.cancelJob(part, id as JobId));
+        }
+      });
+    });
   }
 }
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -24,6 +24,14 @@
 import type { EntryPort } from './entry-port';
 import { linkTiming } from './link-timing';
 
+/** Largest amount that a message carries. */
+const MAX_AMOUNT = 4_294_967_295;
+
+/** Rounds an amount to one that a message can carry. */
+function encodeAmount(amount: number): number {
+  return Math.min(MAX_AMOUNT, Math.max(0, Math.round(amount)));
+}
+
 /** The leader's side of the link from a remote entry instance. */
 export class RemoteEntry implements EntryPort {
   readonly batches = new BatchQueue<LeaderBatch>(() => create(LeaderBatchSchema));
@@ -117,8 +125,8 @@
     this.batches.addToBatch((batch) => {
       if (load !== undefined) {
         batch.load = create(PartLoadSchema, {
-          spareCpuMilli: Math.max(0, Math.round(load.spareCpuMilli)),
-          loopLagMs: Math.max(0, Math.round(load.loopLagMs)),
+          spareCpuMilli: encodeAmount(load.spareCpuMilli),
+          loopLagMs: encodeAmount(load.loopLagMs),
         });
       }
     });
--- a/packages/instance/tests/link-service.test.ts
+++ b/packages/instance/tests/link-service.test.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- drains a stream */
 import { create } from '@bufbuild/protobuf';
+import { createLogger } from 'bunyan';
 import { systemClock } from '@guavaspindle/kernel/time/system-clock';
 import {
   EntryBatchSchema,
@@ -36,6 +37,7 @@
         getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
       },
       systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
     );
     const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
     requests.addToBatch((batch) => {
@@ -56,4 +58,45 @@
     requests.close();
     await jest.advanceTimersByTimeAsync(2_000);
   });
+
+  // Guards against one job that ends the link, and so the service, of all jobs of an entry instance.
+  it('fails only the job whose submission throws', async () => {
+    const submitted: string[] = [];
+    const [odd, good] = [buildJobSubmission({ number: 1 }), buildJobSubmission({ number: 2 })];
+    const service = new LinkService(
+      {
+        openEntry: () => 'all',
+        closeEntry() {},
+        submitJob: (_part, { spec }) => {
+          if (spec.id === odd.spec.id) {
+            throw new Error('unexpected');
+          }
+          submitted.push(spec.id);
+        },
+        cancelJob: () => false,
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
+    );
+    const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
+    requests.addToBatch((batch) => {
+      batch.hello = create(EntryBatchSchema, { hello: { instance: 'entry-1', part: 'all' } }).hello;
+      batch.jobs.push(encodeJob(odd), encodeJob(good));
+    });
+    const ended: { id: string; outcome: string | undefined }[] = [];
+    const replies = service.openLink(requests);
+    const read = async (): Promise<void> => {
+      for (let next = await replies.next(); next.done !== true; next = await replies.next()) {
+        ended.push(...next.value.ended.map(({ id, outcome }) => ({ id, outcome: outcome.case })));
+      }
+    };
+    void read();
+    await jest.advanceTimersByTimeAsync(50);
+    expect(submitted).toEqual([good.spec.id]);
+    expect(ended).toEqual([{ id: odd.spec.id, outcome: 'unknown' }]);
+    requests.close();
+    await jest.advanceTimersByTimeAsync(2_000);
+  });
 });
--- a/packages/kernel/src/time/system-clock.ts
+++ b/packages/kernel/src/time/system-clock.ts
@@ -1,4 +1,5 @@
 import type { Clock } from './clock';
+import { MAX_TIMER_MS } from './max-timer-ms';
 
 /** The clock of the operating system. */
 export const systemClock: Clock = {
@@ -6,6 +7,6 @@
   wall: () => Date.now(),
   pause: (ms) =>
     new Promise((resolve) => {
-      setTimeout(resolve, ms);
+      setTimeout(resolve, Math.min(ms, MAX_TIMER_MS));
     }),
 };
