Pool leader: a changed entry does not end the runs of its server

Backend servers would see: tasks started again elsewhere while they still ran, after another writer had changed the address or the service of a server's entry. Cause: the session was closed and its runs counted as over. The server gets no new work now and is used at its new address once its runs have ended, were stopped or their leases have lapsed. A server whose entry leaves the part is treated like one that is gone.

--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -48,6 +48,12 @@
   /** When the store entry of each deregistered server was found deleted, in monotonic milliseconds. */
   private readonly deregisteredServers = new Map<ServerId, number>();
 
+  /**
+   * Servers whose entries name another address or service than before, with their new reports. Their runs
+   * may still go on at the old address: only their ends, stops or leases show that they are over.
+   */
+  private readonly relocations = new Map<ServerId, ServerReport>();
+
   private readonly entries = new Map<InstanceName, EntryPort>();
 
   /** When each connected entry instance opened its link, in monotonic milliseconds. */
@@ -92,13 +98,33 @@
 
   adoptServer(report: ServerReport): void {
     const { part, domain } = this.options;
+    const known = this.engine.fleet.findServer(report.id);
     if (!isServerInPart(part, report) || (domain !== undefined && report.domain !== domain)) {
+      if (known !== undefined && !this.deregisteredServers.has(report.id)) {
+        this.dropServer(report.id);
+      }
       return;
     }
     this.deregisteredServers.delete(report.id);
-    const known = this.engine.fleet.findServer(report.id);
-    if (known !== undefined && known.report.address !== report.address) {
-      this.closeSession(report.id);
+    this.relocations.delete(report.id);
+    const isElsewhere =
+      known !== undefined &&
+      (known.report.address !== report.address || known.report.service !== report.service);
+    if (isElsewhere) {
+      this.options.log.warn(
+        {
+          server: report.id,
+          from: known.report.address,
+          to: report.address,
+          runs: known.runs.size,
+        },
+        'server entry names another address or service',
+      );
+      known.report = { ...known.report, isDraining: true };
+      this.relocations.set(report.id, report);
+      this.sessions.get(report.id)?.requestConfirmation();
+      this.checkRelocation(report.id);
+      return;
     }
     const server = this.engine.fleet.registerServer(report);
     if (!this.sessions.has(report.id)) {
@@ -116,6 +142,7 @@
         // A crashed server may come back under another id; one that was only cut off clears this itself.
         this.engine.resolveServer(id, undefined, nowMs);
       }
+      this.relocations.delete(id);
       server.report = { ...server.report, isDraining: true };
       this.deregisteredServers.set(id, nowMs);
       this.sessions.get(id)?.requestConfirmation();
@@ -287,6 +314,7 @@
     this.deregisteredServers.forEach((sinceMs, id) =>
       this.checkDeregisteredServer(id, nowMs - sinceMs),
     );
+    this.relocations.forEach((_report, id) => this.checkRelocation(id));
     this.runSchedulingPass();
   }
 
@@ -324,6 +352,18 @@
     }
   }
 
+  /** Uses a server at its new address once none of its runs can be in progress at the old one. */
+  private checkRelocation(id: ServerId): void {
+    const report = this.relocations.get(id);
+    if (report === undefined || this.sessions.get(id)?.isIdle() === false) {
+      return;
+    }
+    this.relocations.delete(id);
+    this.closeSession(id);
+    this.openSession(report, this.engine.fleet.registerServer(report));
+    this.requestSchedulingPass();
+  }
+
   /** Queues one scheduling pass for all events of the current event-loop iteration. */
   private requestSchedulingPass(): void {
     if (!this.isPassQueued) {
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -1,7 +1,9 @@
 /* eslint-disable no-await-in-loop -- the tests check after each step of the clock */
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
+import type { ServiceName } from '@guavaspindle/kernel/ids/service-name';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
 import { buildJobSubmission } from './fixtures/build-job-submission';
 import { buildPool } from './fixtures/build-pool';
@@ -68,6 +70,48 @@
     pool.close();
   });
 
+  // Guards against runs that count as over because an entry changed, and are started again elsewhere.
+  it.each([
+    ['address', { address: buildServerReport(1).address }],
+    ['service', { service: 'other' as ServiceName }],
+    ['failure domain', { domain: 'domain-2' as DomainName }],
+  ])(
+    'starts a task once although the entry of its server names another %s',
+    async (_name, change) => {
+      const servers = [new FakeServer(), new FakeServer(), new FakeServer()];
+      const { pool, entry } = buildPool(servers, { listed: 1 });
+      servers[0]!.runBehavior = { durationMs: 300, how: 'done' };
+      await jest.advanceTimersByTimeAsync(20);
+      const job = buildJobSubmission({ taskCount: 2 });
+      pool.submitJob(job);
+      await jest.advanceTimersByTimeAsync(50);
+      pool.adoptServer({ ...buildServerReport(0), ...change });
+      pool.adoptServer(buildServerReport(2));
+      await jest.advanceTimersByTimeAsync(2_000);
+      expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+      expect(servers.map(({ starts }) => starts.length)).toEqual([2, 0, 0]);
+      pool.close();
+    },
+  );
+
+  it('uses a server at its new address once its runs at the old one have ended', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const { pool, entry } = buildPool(servers, { listed: 1 });
+    servers[0]!.runBehavior = { durationMs: 300, how: 'done' };
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildJobSubmission({ number: 1 }));
+    await jest.advanceTimersByTimeAsync(50);
+    pool.adoptServer({ ...buildServerReport(0), address: buildServerReport(1).address });
+    const next = buildJobSubmission({ number: 2 });
+    pool.submitJob(next);
+    await jest.advanceTimersByTimeAsync(200);
+    expect(servers[1]!.starts).toEqual([]);
+    await jest.advanceTimersByTimeAsync(500);
+    expect(entry.outcomes.get(next.spec.id)).toEqual({ kind: 'completed' });
+    expect(servers.map(({ starts }) => starts.length)).toEqual([1, 1]);
+    pool.close();
+  });
+
   it('detects the end of a run soon after its expected time when a renewal answer is lost', async () => {
     const server = new FakeServer();
     const { pool, entry } = buildPool([server]);
