Server entries: an odd entry no longer ends or blinds the instances that read it

Cause: text of another writer reached a constructor that throws, on a path whose errors end the process. One listener or handler that throws is logged and does not stop the others, and a mirror goes on.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -2,6 +2,7 @@
 import { randomBytes } from 'node:crypto';
 import type Logger from 'bunyan';
 import { Hono } from 'hono';
+import type { NetworkAddress } from '@guavaspindle/kernel/address/network-address';
 import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
 import { PartOffers } from '@guavaspindle/kernel/layout/part-offers';
 import type { PoolPart } from '@guavaspindle/kernel/layout/pool-part';
@@ -82,7 +83,7 @@
     domain: settings.domain,
     incarnation: randomBytes(INCARNATION_BYTES).toString('hex') as IncarnationId,
     cores: settings.cores,
-    address: `${settings.ip}:${settings.peerPort}`,
+    address: `${settings.ip}:${settings.peerPort}` as NetworkAddress,
   };
   const metrics = new InstanceMetrics();
   const store = new StoreClient(settings.storeAddress, STORE_TIMEOUT_MS);
@@ -180,7 +181,7 @@
 
   let isDraining = false;
   const peerServer = new ControlServer((router) => {
-    router.service(InstanceService, new LinkService(elections, clock));
+    router.service(InstanceService, new LinkService(elections, clock, log));
   }, []);
   await peerServer.listen(self.address);
   const callersServer = new HttpServer(buildCallersApp(entryJobs).fetch);
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- each group of calls starts after the one before */
 import type Logger from 'bunyan';
 import { Hono } from 'hono';
+import type { NetworkAddress } from '@guavaspindle/kernel/address/network-address';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
@@ -114,7 +115,7 @@
       id: `warm-up-${index}` as ServerId,
       service: SERVICE,
       domain: 'warm-up' as DomainName,
-      address: 'in memory',
+      address: 'in-memory:1' as NetworkAddress,
       bornMs: 1,
       capacity: { cpuMilli: 4_000, memoryMb: 4_096, gpus: 0 },
       labels: [],
@@ -152,7 +153,7 @@
 
 /** Sends orders over HTTP to a temporary server in this process that runs no tasks. */
 async function sendOrders(clock: Clock, ip: string, orders: number): Promise<void> {
-  const address = `${ip}:${WARM_UP_PORT}`;
+  const address = `${ip}:${WARM_UP_PORT}` as NetworkAddress;
   const server = new HttpServer(
     new Hono().all('*', (context) => context.json(idleServerReply)).fetch,
   );
--- a/packages/instance/src/store/fleet-mirror.ts
+++ b/packages/instance/src/store/fleet-mirror.ts
@@ -8,6 +8,7 @@
 import type { StoreItem } from '@guavaspindle/platform-adapter/store/store-item';
 import { storeKeys } from '@guavaspindle/platform-adapter/store/store-keys';
 import type { StoreSnapshot } from '@guavaspindle/platform-adapter/store/store-snapshot';
+import { runIsolated } from '../process/run-isolated';
 import type { FleetListener } from './fleet-listener';
 import type { MirrorListener } from './mirror-listener';
 
@@ -36,7 +37,9 @@
   /** Passes all known servers and every later change to a listener. */
   addListener(listener: FleetListener): void {
     this.listeners.add(listener);
-    this.reports.forEach((report) => listener.adoptServer(report));
+    this.reports.forEach((report) =>
+      runIsolated(this.log, { server: report.id }, () => listener.adoptServer(report)),
+    );
   }
 
   /** Passes no more changes to a listener. */
@@ -69,6 +72,7 @@
       if (event.kind === 'written') {
         this.applyItem(event.item);
       } else {
+        this.ignoredKeys.delete(event.key);
         this.markMissing(event.key.slice(storeKeys.serversPrefix.length) as ServerId);
       }
     });
@@ -82,7 +86,9 @@
         this.missingSince.delete(id);
         this.reports.delete(id);
         this.log.info({ server: id }, 'server dropped: its entry has not come back to the store');
-        this.listeners.forEach((listener) => listener.dropServer(id));
+        this.listeners.forEach((listener) =>
+          runIsolated(this.log, { server: id }, () => listener.dropServer(id)),
+        );
       }
     });
   }
@@ -101,13 +107,18 @@
         this.ignoredKeys.add(key);
         this.log.warn({ key }, 'ignoring an invalid server entry in the store');
       }
+      // The entry names no server to use, like one that is gone.
+      this.markMissing(id);
       return undefined;
     }
+    this.ignoredKeys.delete(key);
     this.missingSince.delete(id);
     const known = this.reports.get(id);
     this.reports.set(id, report);
     if (known === undefined || JSON.stringify(known) !== JSON.stringify(report)) {
-      this.listeners.forEach((listener) => listener.adoptServer(report));
+      this.listeners.forEach((listener) =>
+        runIsolated(this.log, { server: id }, () => listener.adoptServer(report)),
+      );
     }
     return id;
   }
--- a/packages/instance/src/store/prefix-mirror.ts
+++ b/packages/instance/src/store/prefix-mirror.ts
@@ -1,5 +1,6 @@
 /* eslint-disable no-await-in-loop -- watches run one at a time */
 import type { StoreFailure } from '@guavaspindle/platform-adapter/store/store-failure';
+import { runIsolated } from '../process/run-isolated';
 import type { MirrorListener } from './mirror-listener';
 import { mirrorTiming } from './mirror-timing';
 import type { PrefixMirrorOptions } from './prefix-mirror-options';
@@ -66,7 +67,7 @@
         if (snapshot.isOk()) {
           this.recordAnswer();
           revision = snapshot.value.revision;
-          this.listener.onSnapshot(snapshot.value);
+          runIsolated(log, { prefix }, () => this.listener.onSnapshot(snapshot.value));
         } else {
           await this.handleFailure(snapshot.error);
         }
@@ -78,7 +79,7 @@
             // An empty answer does not advance the revision: a store that is about to drop its
             // history may have withheld changes that its revision already counts.
             revision = changes.value.revision;
-            this.listener.onEvents(changes.value.events);
+            runIsolated(log, { prefix }, () => this.listener.onEvents(changes.value.events));
           }
           if (watchPauseMs > 0) {
             await clock.pause(watchPauseMs);
--- a/packages/instance/tests/whole-path.test.ts
+++ b/packages/instance/tests/whole-path.test.ts
@@ -1,8 +1,14 @@
 /* eslint-disable no-await-in-loop -- each request is sent after the answer to the one before */
+import { BackendServerStandIn } from '@guavaspindle/platform-adapter/stand-ins/backend-server-stand-in';
 import { buildConfigurationText } from '@guavaspindle/platform-adapter/stand-ins/build-configuration-text';
+import { buildServerEntry } from '@guavaspindle/platform-adapter/stand-ins/build-server-entry';
 import { TestCluster } from './fixtures/test-cluster';
 
 const JOB = '/q/00000000000000a1';
+/** Time in which all instances have read a change of the servers' entries. */
+const ENTRY_READ_MS = 800;
+/** Time in which all instances have dropped servers whose entries are gone. */
+const MISSING_ENTRY_MS = 3_600;
 
 /** Builds the body of a job whose tasks each run for `runMs`. */
 function buildJobBody(taskCount: number, runMs: number, changes: object = {}): string {
@@ -170,6 +176,31 @@
     expect(lengths.map(({ status }) => status)).toEqual([200, 200]);
   });
 
+  // Guards against one odd entry that ends or blinds every instance that reads it.
+  it.each([
+    ['a port out of range', buildServerEntry('127.0.0.1:99999')],
+    ['an escaped host', buildServerEntry('%zz:80')],
+    ['200,000 nested arrays', `${'['.repeat(200_000)}${']'.repeat(200_000)}`],
+    ['a number too large', buildServerEntry('127.0.0.1:1').replace('64000', '1e999')],
+  ])('serves jobs on a server that comes after an entry with %s', async (_name, text) => {
+    cluster.store.writeText('servers/odd', text);
+    cluster.store.writeText('servers/i-0', text);
+    await pause(ENTRY_READ_MS);
+    const known = Array.from({ length: cluster.backendServers.length }, (_unused, index) => index);
+    known.forEach((index) => cluster.store.deleteKey(`servers/i-${index}`));
+    const server = new BackendServerStandIn();
+    cluster.backendServers.push(server);
+    cluster.store.writeText('servers/new', buildServerEntry(await server.listen()));
+    await pause(MISSING_ENTRY_MS);
+    const answers = await Promise.all(
+      [1, 2].map((number) =>
+        cluster.send(number, 'POST', `/q/00000000000000e${number}`, buildJobBody(2, 20)),
+      ),
+    );
+    expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+    expect(server.starts.length).toBeGreaterThan(0);
+  });
+
   it('ignores store entries that describe no server', async () => {
     cluster.store.writeText('servers/broken', 'no JSON');
     cluster.store.writeText('servers/odd', JSON.stringify({ service: 'pedidos', address: 7 }));
--- a/packages/kernel/src/engine/server-report.ts
+++ b/packages/kernel/src/engine/server-report.ts
@@ -1,3 +1,4 @@
+import type { NetworkAddress } from '../address/network-address';
 import type { DomainName } from '../ids/domain-name';
 import type { ServerId } from '../ids/server-id';
 import type { ServiceName } from '../ids/service-name';
@@ -8,8 +9,8 @@
   readonly id: ServerId;
   readonly service: ServiceName;
   readonly domain: DomainName;
-  /** `host:port` of the server's API. */
-  readonly address: string;
+  /** Address of the server's API. */
+  readonly address: NetworkAddress;
   /** Unix milliseconds of the server's start; identifies the incarnation of the server. */
   readonly bornMs: number;
   readonly capacity: Resources;
--- a/packages/kernel/tests/job-engine.property.test.ts
+++ b/packages/kernel/tests/job-engine.property.test.ts
@@ -1,4 +1,5 @@
 import { array, assert, constantFrom, nat, property, record } from 'fast-check';
+import type { NetworkAddress } from '../src/address/network-address';
 import { JobEngine } from '../src/engine/job-engine';
 import type { RunEnd } from '../src/engine/run-end';
 import type { DomainName } from '../src/ids/domain-name';
@@ -166,7 +167,7 @@
       id,
       service: SERVICE,
       domain: 'domain-1' as DomainName,
-      address: `127.0.0.1:${index + 1}`,
+      address: `127.0.0.1:${index + 1}` as NetworkAddress,
       bornMs: 1,
       capacity: { cpuMilli: CAPACITY_MILLI, memoryMb: 1_024, gpus: 0 },
       labels: [],
