Links: HTTP/2 pings instead of messages, slow while nobody waits, reports on demand

Cause: each side of each link sent a message every 100 ms, and a message passes some ten layers of async iterators. Change: the entry instance sends HTTP/2 pings, every 200 ms while it has open jobs at the leader, else every 500 ms; only an unanswered ping shows silence. Leaders report their load only when another leader has tasks waiting. The silence of an entry instance is read in each scheduling pass. Builds of before are still understood on both sides. Tests: link-monitor, leader-link (through a proxy that falls silent).

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -127,6 +127,8 @@
       stopTimeoutMs: settings.stopTimeoutMs,
       openServerClient: ({ id, address }) => new ServerClient(id, address, ORDER_TIMEOUT_MS),
       offers,
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
+      onTasksWaiting: () => elections.requestReports(),
       onFenced,
       onClosed: (closed) => fleet.dropListener(closed),
     });
@@ -147,6 +149,7 @@
         log,
         isNeeded: () => elections.isPartNeeded(part.id),
         countLedParts: () => elections.countLedParts(),
+        isReportNeeded: () => elections.isReportNeeded(),
         openPool,
       }),
     onPartsChanged: (parts) => entryJobs.setParts(parts),
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -34,6 +34,8 @@
   isNeeded(): boolean;
   /** Number of parts that this instance leads. */
   countLedParts(): number;
+  /** Returns whether a part that this instance leads needs the reports of other parts' leaders. */
+  isReportNeeded(): boolean;
   /**
    * Starts leading the servers of the part (`all`) or only those of them in this instance's failure
    * domain (`domain`). `onFenced` is called when a server has seen a higher fencing token.
@@ -183,11 +185,17 @@
     this.pool?.dropCaller(id, owner);
   }
 
+  /** Asks the leader for a report of its load. */
+  requestReport(): void {
+    this.link?.requestReport();
+  }
+
   getView(): InstanceView {
-    const { clock, self } = this.options;
-    const hasHeardLeader =
-      this.link !== undefined && clock.now() - this.link.heardAtMs < electionTiming.heardTimeoutMs;
-    let heardLeader = hasHeardLeader ? this.link!.leader.incarnation : '';
+    const { self } = this.options;
+    const { link } = this;
+    let heardLeader = link?.hasHeardLeader() === true ? link.leader.incarnation : '';
+    // The link may be idle: the next view shows whether the leader still answers.
+    link?.requestPing();
     if (this.pool !== undefined && this.scope === 'all') {
       heardLeader = self.incarnation;
     }
@@ -202,6 +210,9 @@
     if (!this.canLead() && !this.options.isNeeded()) {
       return electionTiming.unneededCheckIntervalMs;
     }
+    if (this.pool !== undefined && this.scope === 'domain') {
+      return electionTiming.domainCheckIntervalMs;
+    }
     return this.isConnected()
       ? electionTiming.connectedCheckIntervalMs
       : electionTiming.checkIntervalMs;
@@ -515,25 +526,41 @@
     pool.close();
   }
 
+  private handleLinkClosed(link: LeaderLink, reason: string): void {
+    if (this.link !== link) {
+      return;
+    }
+    const { part, log, entry } = this.options;
+    const fields = { part: part.id, leader: link.leader.name, reason };
+    if (reason === NOT_NEEDED) {
+      log.debug(fields, 'link to the leader closed');
+    } else {
+      log.warn(fields, 'link to the leader lost');
+    }
+    this.link = undefined;
+    entry.setLeader(part.id, undefined);
+    this.wakeUp();
+  }
+
   private async openLink(
     leader: RegisteredInstance,
   ): Promise<'up' | 'not-leader' | 'refused' | 'unreachable'> {
     const { self, clock, entry, log, part } = this.options;
     const port = entry.buildPort(part.id);
     const silenceTimeoutMs = this.changes.computeSilenceTimeoutMs(clock.now());
-    const link = new LeaderLink(part.id, leader, self, clock, port, silenceTimeoutMs, (reason) => {
-      if (this.link === link) {
-        const fields = { part: part.id, leader: leader.name, reason };
-        if (reason === NOT_NEEDED) {
-          log.debug(fields, 'link to the leader closed');
-        } else {
-          log.warn(fields, 'link to the leader lost');
-        }
-        this.link = undefined;
-        entry.setLeader(part.id, undefined);
-        this.wakeUp();
-      }
-    });
+    const link = new LeaderLink(
+      part.id,
+      leader,
+      self,
+      clock,
+      port,
+      silenceTimeoutMs,
+      () => ({
+        isIdle: !entry.hasJobsAt(part.id),
+        isReportNeeded: this.options.isReportNeeded(),
+      }),
+      (reason) => this.handleLinkClosed(link, reason),
+    );
     const opened = await link.open();
     if (opened !== 'up' || this.isClosed) {
       link.close('not opened');
--- a/packages/instance/src/lead/part-elections.ts
+++ b/packages/instance/src/lead/part-elections.ts
@@ -17,6 +17,8 @@
 const MAX_REMOTE_PARTS = 8;
 /** A link to a part of another failure domain is closed this long after the last job needed it. */
 const IDLE_REMOTE_LINK_MS = 5_000;
+/** Reports of the load of other parts are needed for this long after a task had to wait. */
+const REPORTS_NEEDED_MS = 1_000;
 
 interface PartElectionsOptions {
   /** The failure domain of this instance. */
@@ -46,6 +48,8 @@
   /** When a job last needed a part, in monotonic milliseconds. */
   private readonly neededAtMs = new Map<PartId, number>();
 
+  private reportsNeededAtMs = -Infinity;
+
   private isClosed = false;
 
   constructor(private readonly options: PartElectionsOptions) {}
@@ -94,6 +98,20 @@
     );
   }
 
+  /** Asks the leaders of the other parts for reports of their load, since tasks wait for servers here. */
+  requestReports(): void {
+    const wereNeeded = this.isReportNeeded();
+    this.reportsNeededAtMs = this.options.clock.now();
+    if (!wereNeeded) {
+      this.elections.forEach((election) => election.requestReport());
+    }
+  }
+
+  /** Returns whether reports of the load of other parts are needed. */
+  isReportNeeded(): boolean {
+    return this.options.clock.now() - this.reportsNeededAtMs < REPORTS_NEEDED_MS;
+  }
+
   /** Ends the pause between two steps of every election. */
   wakeUp(): void {
     this.elections.forEach((election) => election.wakeUp());
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -1,7 +1,7 @@
 /* eslint-disable no-await-in-loop -- messages are handled one at a time */
 import { create } from '@bufbuild/protobuf';
 import { createClient } from '@connectrpc/connect';
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
+import { createConnectTransport } from '@connectrpc/connect-node';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
@@ -25,24 +25,35 @@
 import type { EntryPort } from './entry-port';
 import type { LeaderPort } from './leader-port';
 import { isConnectionRefused } from './is-connection-refused';
+import { LinkMonitor } from './link-monitor';
+import { LinkSession } from './link-session';
 import { linkTiming } from './link-timing';
+import { encodePingFlags } from './encode-ping-flags';
+import type { PingFlags } from './ping-flags';
 
 /** The link from this entry instance to the remote leader of a part. */
 export class LeaderLink implements LeaderPort {
   private readonly batches = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
 
-  private readonly session: Http2SessionManager;
+  private readonly session: LinkSession;
 
-  private heardAt: number;
+  private readonly monitor: LinkMonitor;
 
   private leadsDomainOnly = false;
 
+  /** Whether the leader reads pings; one of an earlier build needs empty batches. */
+  private isPingRead = false;
+
   private isClosed = false;
 
   private pingTimer: NodeJS.Timeout | undefined;
 
+  /** Whether the next ping is due only after the longer pause of an idle link. */
+  private isPausedIdle = false;
+
   /**
-   * @param silenceTimeoutMs - the link is closed after this time without a message
+   * @param silenceTimeoutMs - the link is closed after this time without an answer to a ping
+   * @param readFlags - returns what the next ping has to tell the leader
    * @param onClosed - called once when the link is closed, for whatever reason
    */
   constructor(
@@ -51,20 +62,36 @@
     private readonly self: RegisteredInstance,
     private readonly clock: Clock,
     private readonly entry: EntryPort,
-    private readonly silenceTimeoutMs: number,
+    silenceTimeoutMs: number,
+    private readonly readFlags: () => PingFlags,
     private readonly onClosed: (reason: string) => void,
   ) {
-    this.session = new Http2SessionManager(`http://${leader.address}`);
-    this.heardAt = clock.now();
+    this.session = new LinkSession(`http://${leader.address}`);
+    this.monitor = new LinkMonitor(silenceTimeoutMs);
   }
 
   get isDomainOnly(): boolean {
     return this.leadsDomainOnly;
   }
 
-  /** When the last message from the leader arrived, in monotonic milliseconds. */
-  get heardAtMs(): number {
-    return this.heardAt;
+  /** Returns whether the leader has answered lately. */
+  hasHeardLeader(): boolean {
+    return this.monitor.hasHeard(this.clock.now());
+  }
+
+  /** Asks for a report of the leader's load if the next ping is not due soon. */
+  requestReport(): void {
+    if (this.isPausedIdle) {
+      this.requestPing();
+    }
+  }
+
+  /** Sends a ping now unless one is unanswered. */
+  requestPing(): void {
+    if (!this.monitor.isWaiting) {
+      this.sendPing();
+      this.schedulePing();
+    }
   }
 
   /**
@@ -105,14 +132,17 @@
       return wasRefused ? 'refused' : 'unreachable';
     }
     this.leadsDomainOnly = first.value.hello.isDomainOnly;
-    this.heardAt = this.clock.now();
-    this.pingTimer = setInterval(() => this.checkSilence(), linkTiming.pingIntervalMs);
+    this.isPingRead = first.value.hello.readsPings;
+    this.schedulePing();
     void this.handleReplies(replies);
     return 'up';
   }
 
   submitJob(submission: Omit<EngineSubmission, 'owner'>): void {
     this.batches.addToBatch((batch) => batch.jobs.push(encodeJob(submission)));
+    if (this.isPausedIdle) {
+      this.schedulePing();
+    }
   }
 
   cancelJob(id: JobId): void {
@@ -131,27 +161,55 @@
       return;
     }
     this.isClosed = true;
-    clearInterval(this.pingTimer);
+    clearTimeout(this.pingTimer);
     this.batches.close();
     this.session.abort();
     this.onClosed(reason);
   }
 
+  private schedulePing(): void {
+    clearTimeout(this.pingTimer);
+    if (this.isClosed) {
+      return;
+    }
+    this.isPausedIdle = this.isIdle();
+    this.pingTimer = setTimeout(
+      () => this.checkSilence(),
+      this.isPingRead
+        ? this.monitor.computePauseMs(this.clock.now(), this.isPausedIdle)
+        : linkTiming.batchPingIntervalMs,
+    );
+  }
+
   private checkSilence(): void {
-    if (this.isSilent()) {
+    if (this.monitor.isSilent(this.clock.now())) {
       // Messages that arrived while the event loop was blocked are read before the link is closed.
       setImmediate(() => {
-        if (this.isSilent()) {
+        if (this.monitor.isSilent(this.clock.now())) {
           this.close('silent');
+        } else {
+          this.schedulePing();
         }
       });
+    } else {
+      this.sendPing();
+      this.schedulePing();
+    }
+  }
+
+  private sendPing(): void {
+    this.monitor.recordPing(this.clock.now());
+    if (this.isPingRead) {
+      this.session.sendPing(encodePingFlags(this.readFlags()), () => this.monitor.recordMessage());
     } else {
       this.batches.addToBatch(() => {});
     }
   }
 
-  private isSilent(): boolean {
-    return this.clock.now() - this.heardAt > this.silenceTimeoutMs;
+  /** Returns whether nobody at this instance waits for the leader. */
+  private isIdle(): boolean {
+    const { isIdle, isReportNeeded } = this.readFlags();
+    return isIdle && !isReportNeeded;
   }
 
   private async handleReplies(replies: AsyncIterator<LeaderBatch>): Promise<void> {
@@ -161,7 +219,7 @@
         if (next.done === true || this.isClosed) {
           break;
         }
-        this.heardAt = this.clock.now();
+        this.monitor.recordMessage();
         this.handleBatch(next.value);
       }
       this.close('stream ended by the leader');
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -1,6 +1,6 @@
 /* eslint-disable no-await-in-loop -- messages are handled one at a time */
 import { create } from '@bufbuild/protobuf';
-import type { ServiceImpl } from '@connectrpc/connect';
+import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import type Logger from 'bunyan';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
@@ -15,14 +15,32 @@
   type InstanceService,
   type LeaderBatch,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import { sessionKey } from '@guavaspindle/runtime/control/session-key';
 import { runIsolated } from '../process/run-isolated';
 import { decodeJob } from './decode-job';
 import type { LinkHost } from './link-host';
 import { linkTiming } from './link-timing';
+import { decodePingFlags } from './decode-ping-flags';
 import { RemoteEntry } from './remote-entry';
 
+/** An open link, seen from the leader. */
+interface OpenLink {
+  readonly entry: RemoteEntry;
+  close(): void;
+}
+
+/** Returns whether a batch, of an instance of an earlier build, asks only for an answer. */
+function isPing({ hello, jobs, cancels }: EntryBatch): boolean {
+  return hello === undefined && jobs.length === 0 && cancels.length === 0;
+}
+
 /** Serves the links of entry instances and requests for this instance's view of the leader. */
 export class LinkService implements ServiceImpl<typeof InstanceService> {
+  private readonly links = new Set<OpenLink>();
+
+  /** Runs while links are open. */
+  private silenceTimer: NodeJS.Timeout | undefined;
+
   constructor(
     private readonly host: LinkHost,
     private readonly clock: Clock,
@@ -33,33 +51,61 @@
     return create(GetViewResponseSchema, this.host.getView(part as PartId));
   }
 
-  async *openLink(requests: AsyncIterable<EntryBatch>): AsyncGenerator<LeaderBatch> {
+  async *openLink(
+    requests: AsyncIterable<EntryBatch>,
+    context?: Pick<HandlerContext, 'values'>,
+  ): AsyncGenerator<LeaderBatch> {
     const iterator = requests[Symbol.asyncIterator]();
     const first = await iterator.next();
     const name = (first.done === true ? '' : (first.value.hello?.instance ?? '')) as InstanceName;
     const part = (first.done === true ? '' : (first.value.hello?.part ?? '')) as PartId;
     const entry = new RemoteEntry(this.clock);
+    const session = context?.values.get(sessionKey);
     const scope = name === '' ? undefined : this.host.openEntry(part, name, entry);
     yield create(LeaderBatchSchema, {
-      hello: { isLeader: scope !== undefined, isDomainOnly: scope === 'domain' },
+      hello: {
+        isLeader: scope !== undefined,
+        isDomainOnly: scope === 'domain',
+        readsPings: session !== undefined,
+      },
     });
     if (scope === undefined) {
       return;
     }
-    // The generator never resumes if the peer stops reading, so the receiver and the ping timer close
+    // The generator never resumes if the peer stops reading, so the receiver and the silence timer close
     // the entry without waiting for the `finally` block below.
     let isClosed = false;
-    const close = (): void => {
-      isClosed = true;
-      entry.endLink();
-      this.host.closeEntry(part, name, entry);
+    const handlePing = (payload: Uint8Array): void => {
+      const { isIdle, isReportNeeded } = decodePingFlags(payload);
+      entry.recordMessage(isIdle);
+      if (isReportNeeded) {
+        entry.answerPing();
+      }
+    };
+    session?.on('ping', handlePing);
+    const link: OpenLink = {
+      entry,
+      close: () => {
+        if (isClosed) {
+          return;
+        }
+        isClosed = true;
+        this.dropLink(link);
+        session?.off('ping', handlePing);
+        entry.endLink();
+        this.host.closeEntry(part, name, entry);
+      },
     };
+    this.addLink(link);
     const receive = async (): Promise<void> => {
       // Messages that a network partition has held back arrive after the link has been given up. The entry
       // instance has submitted their jobs elsewhere since then.
       for (let next = first; next.done !== true && !isClosed; next = await iterator.next()) {
-        entry.recordMessage();
+        entry.recordMessage(false);
         this.handleBatch(next.value, part, name, entry);
+        if (isPing(next.value)) {
+          entry.answerPing();
+        }
       }
     };
     // A failed stream closes the entry like one that ends.
@@ -67,30 +113,41 @@
       .catch((error: unknown) => {
         this.log.debug({ entry: name, part, err: error }, 'link from an entry instance failed');
       })
-      .finally(close);
-    const hasTimedOut = (): boolean =>
-      this.clock.now() - entry.heardAtMs > linkTiming.silenceTimeoutMs;
-    const pingTimer = setInterval(() => {
-      if (!hasTimedOut()) {
-        entry.sendPing();
-        return;
-      }
-      // Messages that arrived while the event loop was blocked are read before the link is closed.
-      setImmediate(() => {
-        if (hasTimedOut()) {
-          clearInterval(pingTimer);
-          close();
-        }
-      });
-    }, linkTiming.pingIntervalMs);
+      .finally(() => link.close());
     try {
       yield* entry.batches;
     } finally {
-      clearInterval(pingTimer);
-      close();
+      link.close();
+    }
+  }
+
+  private addLink(link: OpenLink): void {
+    this.links.add(link);
+    this.silenceTimer ??= setInterval(
+      () => this.closeSilentLinks(),
+      linkTiming.silenceCheckIntervalMs,
+    );
+  }
+
+  private dropLink(link: OpenLink): void {
+    this.links.delete(link);
+    if (this.links.size === 0) {
+      clearInterval(this.silenceTimer);
+      this.silenceTimer = undefined;
     }
   }
 
+  private closeSilentLinks(): void {
+    const silent = [...this.links].filter(({ entry }) => entry.hasTimedOut());
+    if (silent.length === 0) {
+      return;
+    }
+    // Messages that arrived while the event loop was blocked are read before the links are closed.
+    setImmediate(() => {
+      silent.filter(({ entry }) => entry.hasTimedOut()).forEach((link) => link.close());
+    });
+  }
+
   private handleBatch(
     batch: EntryBatch,
     part: PartId,
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -41,21 +41,30 @@
   /** When the last message from the entry instance arrived, in monotonic milliseconds. */
   private heardAt: number;
 
+  /** Whether that message said that the entry instance has no open jobs here. */
+  private isIdle = false;
+
   constructor(private readonly clock: Clock) {
     this.heardAt = clock.now();
   }
 
-  get heardAtMs(): number {
-    return this.heardAt;
+  /** Records that a message from the entry instance has arrived, and whether it has no open jobs here. */
+  recordMessage(isIdle: boolean): void {
+    this.heardAt = this.clock.now();
+    this.isIdle = isIdle;
   }
 
-  /** Records that a message from the entry instance has arrived. */
-  recordMessage(): void {
-    this.heardAt = this.clock.now();
+  /** Returns whether no message has arrived for so long that the link is to be closed. */
+  hasTimedOut(): boolean {
+    const timeoutMs = this.isIdle ? linkTiming.idleSilenceTimeoutMs : linkTiming.silenceTimeoutMs;
+    return this.clock.now() - this.heardAt > timeoutMs;
   }
 
   isSilent(): boolean {
-    return this.clock.now() - this.heardAt > linkTiming.startSuspensionMs;
+    const { idleSilenceTimeoutMs, startSuspensionMs } = linkTiming;
+    return (
+      this.clock.now() - this.heardAt > (this.isIdle ? idleSilenceTimeoutMs : startSuspensionMs)
+    );
   }
 
   endJob(id: JobId, outcome: JobOutcome): void {
@@ -70,7 +79,7 @@
     });
   }
 
-  /** Reports the load with the next ping. */
+  /** Reports the load with the next answer to a ping. */
   reportLoad(load: PartLoad): void {
     this.load = load;
   }
@@ -119,7 +128,7 @@
   }
 
   /** Sends a batch that shows that this instance is alive and still leads; with the load, if reported. */
-  sendPing(): void {
+  answerPing(): void {
     const { load } = this;
     this.load = undefined;
     this.batches.addToBatch((batch) => {
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -31,6 +31,8 @@
  * a task or the pause of a server has ended.
  */
 const TICK_INTERVAL_MS = 25;
+/** The same while no job is open. */
+const IDLE_TICK_INTERVAL_MS = 100;
 /** Interval at which the spare capacity of the part is reported to the entry instances. */
 const SPARE_REPORT_INTERVAL_MS = 100;
 /** Interval at which the load of the pool is logged and exported. */
@@ -67,7 +69,7 @@
 
   private fencingToken: number;
 
-  private readonly ticker: NodeJS.Timeout;
+  private ticker: NodeJS.Timeout | undefined;
 
   private readonly meter: ProcessLoadMeter;
 
@@ -87,8 +89,8 @@
     this.fencingToken = options.fencingToken;
     this.engine = new JobEngine(options.domain === undefined);
     this.loadReportedAtMs = options.clock.now();
-    this.meter = new ProcessLoadMeter(TICK_INTERVAL_MS, this.loadReportedAtMs);
-    this.ticker = setInterval(() => this.runTick(), TICK_INTERVAL_MS);
+    this.meter = new ProcessLoadMeter(this.loadReportedAtMs);
+    this.scheduleTick();
   }
 
   /** Number of open jobs. */
@@ -213,7 +215,7 @@
   /** Stops leading at once without stopping runs; the next leader of all domains may adopt them. */
   close(): void {
     this.isClosed = true;
-    clearInterval(this.ticker);
+    clearTimeout(this.ticker);
     this.options.metrics.recordLoad(undefined);
     this.options.onClosed(this);
     this.sessions.forEach((session) => session.close());
@@ -282,9 +284,15 @@
     this.requestSchedulingPass();
   }
 
-  private runTick(): void {
+  private scheduleTick(): void {
+    const intervalMs = this.engine.openJobs > 0 ? TICK_INTERVAL_MS : IDLE_TICK_INTERVAL_MS;
+    this.ticker = setTimeout(() => this.runTick(intervalMs), intervalMs);
+  }
+
+  private runTick(intervalMs: number): void {
+    this.scheduleTick();
     const nowMs = this.options.clock.now();
-    this.meter.recordTick(nowMs);
+    this.meter.recordTick(nowMs, intervalMs);
     if (nowMs - this.spareReportedAtMs >= SPARE_REPORT_INTERVAL_MS) {
       this.spareReportedAtMs = nowMs;
       this.reportSpareCapacity();
@@ -310,7 +318,6 @@
         this.engine.dropOwner(name, nowMs);
       }
     });
-    this.entries.forEach((port, name) => this.engine.setOwnerSilent(name, port.isSilent()));
     this.deregisteredServers.forEach((sinceMs, id) =>
       this.checkDeregisteredServer(id, nowMs - sinceMs),
     );
@@ -378,8 +385,12 @@
       return;
     }
     const nowMs = this.options.clock.now();
+    this.entries.forEach((port, name) => this.engine.setOwnerSilent(name, port.isSilent()));
     this.engine.schedule(nowMs);
-    const { part, offers } = this.options;
+    const { part, offers, onTasksWaiting } = this.options;
+    if (this.engine.hasWaitingTasks()) {
+      onTasksWaiting();
+    }
     this.engine.moveWaitingJobs((cpuMilli) => offers.takeCapacity(part.id, cpuMilli, nowMs), nowMs);
     this.engine.takeEffects().forEach((effect) => this.applyEffect(effect));
   }
--- a/packages/instance/src/pool/pool-options.ts
+++ b/packages/instance/src/pool/pool-options.ts
@@ -24,6 +24,8 @@
   openServerClient(report: ServerReport): ServerApi;
   /** The spare capacity of other parts. */
   readonly offers: PartOffers;
+  /** Called in each scheduling pass that leaves tasks waiting: other parts may have capacity for them. */
+  onTasksWaiting(): void;
   /** Called when a server has seen a higher token: another instance leads, or has led meanwhile. */
   onFenced(): void;
   /** Called when the pool has been closed. */
--- a/packages/instance/src/process/process-load-meter.ts
+++ b/packages/instance/src/process/process-load-meter.ts
@@ -12,11 +12,7 @@
 
   private lastProcessorMs: number;
 
-  /** @param tickIntervalMs - interval of the timer whose delay is measured */
-  constructor(
-    private readonly tickIntervalMs: number,
-    nowMs: number,
-  ) {
+  constructor(nowMs: number) {
     this.lastTakenMs = nowMs;
     this.lastProcessorMs = ProcessLoadMeter.readProcessorMs();
   }
@@ -26,10 +22,10 @@
     return this.latestLagMs;
   }
 
-  /** Records that the timer has fired. */
-  recordTick(nowMs: number): void {
+  /** Records that the timer has fired, which was due `intervalMs` after the time before. */
+  recordTick(nowMs: number, intervalMs: number): void {
     if (this.lastTickMs !== undefined) {
-      this.latestLagMs = Math.max(0, nowMs - this.lastTickMs - this.tickIntervalMs);
+      this.latestLagMs = Math.max(0, nowMs - this.lastTickMs - intervalMs);
       this.maxLagMs = Math.max(this.maxLagMs, this.latestLagMs);
     }
     this.lastTickMs = nowMs;
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -93,6 +93,7 @@
     stopTimeoutMs: 50,
     openServerClient: () => new InMemoryServer(),
     offers: new PartOffers(),
+    onTasksWaiting() {},
     onFenced() {},
     onClosed() {},
   });
--- /dev/null
+++ b/packages/instance/tests/leader-link.test.ts
@@ -0,0 +1,192 @@
+import { create } from '@bufbuild/protobuf';
+import { createLogger } from 'bunyan';
+import type { NetworkAddress } from '@guavaspindle/kernel/address/network-address';
+import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
+import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
+import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import type { PartId } from '@guavaspindle/kernel/ids/part-id';
+import { systemClock } from '@guavaspindle/kernel/time/system-clock';
+import {
+  InstanceService,
+  LeaderBatchSchema,
+  type LeaderBatch,
+} from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
+import { ControlServer } from '@guavaspindle/runtime/control/control-server';
+import { FaultProxy } from '@guavaspindle/platform-adapter/stand-ins/fault-proxy';
+import { LeaderLink } from '../src/links/leader-link';
+import { LinkService } from '../src/links/link-service';
+import { LinkSession } from '../src/links/link-session';
+import { linkTiming } from '../src/links/link-timing';
+import type { PingFlags } from '../src/links/ping-flags';
+import type { RegisteredInstance } from '../src/registry/registered-instance';
+import { buildJobSubmission } from './fixtures/build-job-submission';
+import { RecordingEntry } from './fixtures/recording-entry';
+
+const IP = '127.0.81.1';
+const PORT = 7_203;
+const PART = 'all' as PartId;
+/** Late timers of a busy machine, in milliseconds. */
+const SLACK_MS = 400;
+
+function buildRecord(name: string, address: string): RegisteredInstance {
+  return {
+    name: name as InstanceName,
+    domain: 'domain-1' as DomainName,
+    incarnation: name as IncarnationId,
+    cores: 1,
+    address: address as NetworkAddress,
+  };
+}
+
+/** Waits on the real clock. */
+async function pause(ms: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+describe('the link from an entry instance to a leader', () => {
+  const flags: { current: PingFlags } = { current: { isIdle: true, isReportNeeded: false } };
+  let proxy: FaultProxy;
+  let server: ControlServer;
+  let link: LeaderLink;
+  let entry: RecordingEntry;
+  let submitted: string[];
+  let leaderPort: { reportLoad(load: { spareCpuMilli: number; loopLagMs: number }): void };
+  let leaderSide: { closed: number };
+  let closedFor: string | undefined;
+  let closedAtMs = 0;
+
+  /** Opens a link through the proxy to the leader that the server serves. */
+  async function openLink(): Promise<string> {
+    await server.listen(`${IP}:${PORT}`);
+    proxy = new FaultProxy(IP, PORT);
+    entry = new RecordingEntry();
+    link = new LeaderLink(
+      PART,
+      buildRecord('leader', await proxy.listen()),
+      buildRecord('entry-1', `${IP}:1`),
+      systemClock,
+      entry,
+      linkTiming.silenceTimeoutMs,
+      () => flags.current,
+      (reason) => {
+        closedFor = reason;
+        closedAtMs = systemClock.now();
+      },
+    );
+    return link.open();
+  }
+
+  beforeEach(() => {
+    flags.current = { isIdle: true, isReportNeeded: false };
+    submitted = [];
+    const counts = { closed: 0 };
+    leaderSide = counts;
+    closedFor = undefined;
+    const service = new LinkService(
+      {
+        openEntry: (_part, _name, port) => {
+          leaderPort = port;
+          return 'all';
+        },
+        closeEntry: () => {
+          counts.closed += 1;
+        },
+        submitJob: (_part, { spec }) => submitted.push(spec.id),
+        cancelJob: () => false,
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
+    );
+    server = new ControlServer((router) => {
+      router.service(InstanceService, service);
+    }, []);
+  });
+
+  afterEach(async () => {
+    link.close('test');
+    proxy.close();
+    await server.close();
+    jest.restoreAllMocks();
+  });
+
+  // Guards against the cost of links that nobody uses: hundreds of machines link to each leader.
+  it.each([
+    ['without open jobs', true, linkTiming.idlePingIntervalMs],
+    ['with open jobs', false, linkTiming.pingIntervalMs],
+  ])('stays open %s, and sends one ping an interval', async (_name, isIdle, intervalMs) => {
+    flags.current = { isIdle, isReportNeeded: false };
+    const pings = jest.spyOn(LinkSession.prototype, 'sendPing');
+    expect(await openLink()).toBe('up');
+    await pause(4 * linkTiming.idlePingIntervalMs);
+    expect(closedFor).toBeUndefined();
+    expect(leaderSide.closed).toBe(0);
+    const expected = (4 * linkTiming.idlePingIntervalMs) / intervalMs;
+    expect(pings.mock.calls.length).toBeLessThanOrEqual(expected);
+    expect(pings.mock.calls.length).toBeGreaterThanOrEqual(expected / 2);
+    expect(link.hasHeardLeader()).toBe(true);
+  });
+
+  it.each([
+    ['without open jobs', true, linkTiming.idlePingIntervalMs],
+    ['with open jobs', false, linkTiming.pingIntervalMs],
+  ])('is closed once the leader falls silent, %s', async (_name, isIdle, intervalMs) => {
+    flags.current = { isIdle, isReportNeeded: false };
+    await openLink();
+    await pause(300);
+    proxy.setMode('silent');
+    const silentAtMs = systemClock.now();
+    await pause(linkTiming.silenceTimeoutMs + intervalMs + SLACK_MS);
+    expect(closedFor).toBe('silent');
+    expect(closedAtMs - silentAtMs).toBeGreaterThan(linkTiming.silenceTimeoutMs / 2);
+  });
+
+  // Guards against a job that waits for the slow ping of an idle link before the silence is noticed.
+  it('pings at the faster interval from the first job on', async () => {
+    await openLink();
+    await pause(linkTiming.idlePingIntervalMs + 50);
+    proxy.setMode('silent');
+    const submittedAtMs = systemClock.now();
+    flags.current = { isIdle: false, isReportNeeded: false };
+    link.submitJob(buildJobSubmission());
+    await pause(linkTiming.silenceTimeoutMs + linkTiming.pingIntervalMs + SLACK_MS);
+    expect(closedFor).toBe('silent');
+    expect(closedAtMs - submittedAtMs).toBeLessThan(
+      linkTiming.silenceTimeoutMs + linkTiming.pingIntervalMs + SLACK_MS,
+    );
+  });
+
+  it('carries reports of the load only when they are asked for', async () => {
+    await openLink();
+    leaderPort.reportLoad({ spareCpuMilli: 7, loopLagMs: 1 });
+    await pause(linkTiming.idlePingIntervalMs + 200);
+    expect(entry.load).toBeUndefined();
+    flags.current = { isIdle: true, isReportNeeded: true };
+    link.requestReport();
+    await pause(200);
+    expect(entry.load).toMatchObject({ spareCpuMilli: 7, loopLagMs: 1 });
+  });
+
+  it('stays open to a leader of an earlier build, which does not read pings', async () => {
+    let batches = 0;
+    server = new ControlServer((router) => {
+      router.service(InstanceService, {
+        getView: () => ({}),
+        async *openLink(requests): AsyncGenerator<LeaderBatch> {
+          yield create(LeaderBatchSchema, { hello: { isLeader: true } });
+          for await (const batch of requests) {
+            batches += batch.hello === undefined ? 1 : 0;
+            yield create(LeaderBatchSchema);
+          }
+        },
+      });
+    }, []);
+    expect(await openLink()).toBe('up');
+    await pause(1_500);
+    expect(closedFor).toBeUndefined();
+    expect(batches).toBeGreaterThanOrEqual(1_500 / linkTiming.silenceTimeoutMs);
+  });
+});
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -394,6 +394,11 @@
     });
   }
 
+  /** Returns whether any task waits for a server. */
+  hasWaitingTasks(): boolean {
+    return [...this.jobs.values()].some((job) => job.remainingTasks > job.runningTasks);
+  }
+
   /** Computes the CPU capacity that the waiting tasks need, in thousandths of a core. */
   computeWaitingCpuMilli(): number {
     let waitingMilli = 0;
--- a/packages/runtime/src/control/control-server.ts
+++ b/packages/runtime/src/control/control-server.ts
@@ -1,7 +1,8 @@
 import { once } from 'node:events';
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
-import type { ConnectRouter, Interceptor } from '@connectrpc/connect';
+import { createContextValues, type ConnectRouter, type Interceptor } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { sessionKey } from './session-key';
 import { splitAddress } from './split-address';
 
 /** The maximum size of a request, in bytes; the largest requests are jobs with their payloads. */
@@ -15,7 +16,16 @@
 
   constructor(routes: (router: ConnectRouter) => void, interceptors: Interceptor[]) {
     this.server = createServer(
-      connectNodeAdapter({ routes, interceptors, readMaxBytes: MAX_REQUEST_BYTES }),
+      connectNodeAdapter({
+        routes,
+        interceptors,
+        readMaxBytes: MAX_REQUEST_BYTES,
+        contextValues: (request) =>
+          createContextValues().set(
+            sessionKey,
+            'stream' in request ? request.stream.session : undefined,
+          ),
+      }),
     );
     this.server.on('session', (session) => {
       this.sessions.add(session);
--- a/packages/soak/src/plan/pick-faults.ts
+++ b/packages/soak/src/plan/pick-faults.ts
@@ -1,7 +1,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { ProxyMode } from '@guavaspindle/platform-adapter/stand-ins/proxy-mode';
 import type { PlannedFault } from './planned-fault';
-import type { ProxyMode } from './proxy-mode';
 import type { SoakFault } from './soak-fault';
 import type { SoakOptions } from './soak-options';
 
--- a/packages/soak/src/plan/soak-fault.ts
+++ b/packages/soak/src/plan/soak-fault.ts
@@ -1,4 +1,4 @@
-import type { ProxyMode } from './proxy-mode';
+import type { ProxyMode } from '@guavaspindle/platform-adapter/stand-ins/proxy-mode';
 
 /** A fault that is injected from outside. */
 export type SoakFault =
--- a/packages/soak/src/site/soak-site.ts
+++ b/packages/soak/src/site/soak-site.ts
@@ -8,11 +8,11 @@
 import { StoreStandIn } from '@guavaspindle/platform-adapter/stand-ins/store-stand-in';
 import { storeKeys } from '@guavaspindle/platform-adapter/store/store-keys';
 import { BackendServerStandIn } from '@guavaspindle/platform-adapter/stand-ins/backend-server-stand-in';
+import type { ProxyMode } from '@guavaspindle/platform-adapter/stand-ins/proxy-mode';
+import { FaultProxy } from '@guavaspindle/platform-adapter/stand-ins/fault-proxy';
 import type { PromiseBook } from '../checks/promise-book';
 import type { PlannedFault } from '../plan/planned-fault';
-import type { ProxyMode } from '../plan/proxy-mode';
 import type { SoakOptions } from '../plan/soak-options';
-import { FaultProxy } from './fault-proxy';
 
 /** The built binary; the folder is the same from `src` and from `dist`. */
 const INSTANCE = resolve(__dirname, '../../../instance/dist/bin/instance.js');
