Layout: parts by what the processors of their leaders carry

Cause: parts followed the number of servers alone. Change: a part has at most 60 servers for each core of the strongest instance of its domain, 4 at least and 36 at most; one pool stays one where its leader carries it. The strongest instance ever seen counts, so a restart divides nothing. Tests: layout (6 cases), layout-planner.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -51,8 +51,6 @@
  * store answers again.
  */
 const RECENT_STORE_FAILURE_MS = 5_000;
-/** Interval of the check whether the fleet has outgrown its layout. */
-const LAYOUT_CHECK_MS = 500;
 /** Delay of the warm-up, after which the other instances have registered. */
 const WARM_UP_DELAY_MS = 500;
 /** Warm-up of an instance that serves callers, but is unlikely to lead. */
@@ -69,8 +67,8 @@
 const ACCEPT_JOBS_SHARE = 0.4;
 /** Time in which the last answers leave the process. */
 const RESPONSE_FLUSH_MS = 50;
-/** Interval of the check for servers whose entries are missing from the store. */
-const MISSING_SERVER_CHECK_MS = 250;
+/** Interval of the checks for servers whose entries are missing and for an outgrown layout. */
+const FLEET_CHECK_MS = 500;
 
 /** Connects the parts of an instance, opens its ports and starts it; rejects if a port is in use. */
 export async function buildInstance(
@@ -133,6 +131,9 @@
       onClosed: (closed) => fleet.dropListener(closed),
     });
     fleet.addListener(pool);
+    // The leader of a part links to the leaders of others.
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
+    elections.wakeUp();
     return pool;
   };
   const elections: PartElections = new PartElections({
@@ -159,6 +160,7 @@
     log,
     findLayout: () => registry.findLayout(),
     listServers: () => fleet.listServers(),
+    listInstances: () => [self, ...registry.listOthers()],
     isWriter: (layout) => elections.isLeadingFirstPart(layout),
     writeLayout: (layout) => registry.writeLayout(layout),
   });
@@ -208,10 +210,10 @@
   mirrors.forEach((mirror) => {
     void mirror.run();
   });
-  const missingServerTimer = setInterval(() => fleet.dropMissing(), MISSING_SERVER_CHECK_MS);
-  const layoutTimer = setInterval(() => {
+  const fleetTimer = setInterval(() => {
+    fleet.dropMissing();
     void layoutPlanner.check();
-  }, LAYOUT_CHECK_MS);
+  }, FLEET_CHECK_MS);
   void registry.writeOwnRecord();
   log.info({ self }, 'instance started');
   if (settings.isFirstStart) {
@@ -219,7 +221,14 @@
       const iterations = isLikelyLeader(self, registry.listOthers())
         ? undefined
         : ENTRY_WARM_UP_ITERATIONS;
-      return runWarmUp(clock, log, settings.ip, settings.callersAddress, iterations);
+      return runWarmUp({
+        clock,
+        log,
+        ip: settings.ip,
+        callersAddress: settings.callersAddress,
+        iterations,
+        isTrafficHere: () => entryJobs.openJobs > 0,
+      });
     });
   }
 
@@ -244,8 +253,7 @@
       await registry.dropOwnRecord();
       elections.close();
       mirrors.forEach((mirror) => mirror.close());
-      clearInterval(missingServerTimer);
-      clearInterval(layoutTimer);
+      clearInterval(fleetTimer);
       readinessServer.close();
       metricsServer.close();
       await peerServer.close();
--- a/packages/instance/src/lead/election-timing.ts
+++ b/packages/instance/src/lead/election-timing.ts
@@ -2,12 +2,12 @@
 export const electionTiming = {
   /** Interval between election steps; a change of the registry triggers a step at once. */
   checkIntervalMs: 20,
-  /** The same while the instance leads or has a link to the leader; its loss triggers a step too. */
+  /** The same while the instance has a link to the leader; its loss triggers a step too. */
   connectedCheckIntervalMs: 1_000,
-  /** The same while the instance leads its failure domain alone and looks for a way back. */
-  domainCheckIntervalMs: 250,
+  /** The same while the instance leads: it looks for a better suited one, or for a way back. */
+  leadingCheckIntervalMs: 250,
   /** The same for a part to which no link is needed; a job that needs one triggers a step too. */
-  unneededCheckIntervalMs: 1_000,
+  unneededCheckIntervalMs: 5_000,
   /** Timeout for fetching another instance's view of the leader; covers several round trips. */
   viewTimeoutMs: 200,
   /** Delay of a candidate for each one sorted before it, so that usually only one writes a claim. */
--- a/packages/instance/src/lead/layout-planner.ts
+++ b/packages/instance/src/lead/layout-planner.ts
@@ -4,6 +4,7 @@
 import type { PoolLayout } from '@guavaspindle/kernel/layout/pool-layout';
 import type { Clock } from '@guavaspindle/kernel/time/clock';
 import { computeLayout } from '@guavaspindle/kernel/layout/compute-layout';
+import type { RegisteredInstance } from '../registry/registered-instance';
 
 /** A layout is written once the fleet has called for the same one for this long, in milliseconds. */
 const STABLE_MS = 1_500;
@@ -18,6 +19,8 @@
   readonly log: Logger;
   findLayout(): PoolLayout;
   listServers(): ReadonlyMap<DomainName, readonly ServerId[]>;
+  /** Lists the known instances. */
+  listInstances(): readonly Pick<RegisteredInstance, 'domain' | 'cores'>[];
   /** Returns whether this instance is the one that may write the layout now. */
   isWriter(layout: PoolLayout): boolean;
   writeLayout(layout: PoolLayout): Promise<void>;
@@ -29,13 +32,23 @@
 
   private plannedSinceMs = 0;
 
+  /**
+   * Processor capacity of the strongest instance ever seen in each failure domain, in cores: one that
+   * restarts comes back, and a division for its absence would stay.
+   */
+  private readonly coresByDomain = new Map<DomainName, number>();
+
   constructor(private readonly options: LayoutPlannerOptions) {}
 
   /** Writes a new layout if the fleet has called for it long enough; call it regularly. */
   async check(): Promise<void> {
-    const { clock, log, findLayout, listServers, isWriter, writeLayout } = this.options;
+    const { clock, log, findLayout, listServers, listInstances, isWriter, writeLayout } =
+      this.options;
+    listInstances().forEach(({ domain, cores }) => {
+      this.coresByDomain.set(domain, Math.max(cores, this.coresByDomain.get(domain) ?? 0));
+    });
     const current = findLayout();
-    const next = computeLayout(listServers(), current);
+    const next = computeLayout(listServers(), current, this.coresByDomain);
     const nowMs = clock.now();
     // The boundaries follow each server that comes or goes; what has to be stable is the number of parts.
     const planned = describeLayout(next);
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -210,8 +210,8 @@
     if (!this.canLead() && !this.options.isNeeded()) {
       return electionTiming.unneededCheckIntervalMs;
     }
-    if (this.pool !== undefined && this.scope === 'domain') {
-      return electionTiming.domainCheckIntervalMs;
+    if (this.pool !== undefined) {
+      return electionTiming.leadingCheckIntervalMs;
     }
     return this.isConnected()
       ? electionTiming.connectedCheckIntervalMs
--- a/packages/instance/tests/layout-planner.test.ts
+++ b/packages/instance/tests/layout-planner.test.ts
@@ -18,6 +18,7 @@
     clock: systemClock,
     log: createLogger({ name: 'test', level: 'fatal' }),
     findLayout: () => layout,
+    listInstances: () => [{ domain: 'domain-1' as DomainName, cores: 2 }],
     listServers: () => new Map([['domain-1' as DomainName, ids]]),
     isWriter: () => true,
     writeLayout: async (next) => {
--- a/packages/kernel/tests/layout.test.ts
+++ b/packages/kernel/tests/layout.test.ts
@@ -62,13 +62,37 @@
     ['divides a domain anew after a large growth', { near: 140 }, { near: 2 }, { near: 4 }],
     ['adds a domain that is new', { near: 62, far: 5 }, { near: 2 }, { near: 2, far: 1 }],
   ])('%s', (_name, servers, current, expected) => {
-    const layout = computeLayout(buildFleet(servers), buildLayout(current));
+    const layout = computeLayout(buildFleet(servers), buildLayout(current), new Map());
+    expect(countParts(layout)).toEqual(expected);
+  });
+
+  // Guards against a leader that spends its whole processor on the starts of too many servers.
+  it.each([
+    ['one pool that its leader carries', { near: 17, far: 16 }, { near: 0.675, far: 0.675 }, {}],
+    ['one pool of a strong leader', { near: 30, far: 30 }, { near: 1.35, far: 0.324 }, {}],
+    [
+      'a fleet that fits in one pool, but not for weak leaders',
+      { near: 30, far: 30 },
+      { near: 0.12, far: 0.12 },
+      { near: 5, far: 5 },
+    ],
+    [
+      'domains of unequal strength',
+      { near: 76, far: 76 },
+      { near: 1.35, far: 0.324 },
+      { near: 3, far: 4 },
+    ],
+    ['very weak leaders', { near: 70 }, { near: 0.01 }, { near: 18 }],
+    ['a domain of unknown strength', { near: 76, far: 76 }, { far: 1.35 }, { near: 3, far: 3 }],
+  ])('divides by what leaders carry: %s', (_name, servers, cores, expected) => {
+    const strongest = new Map(Object.entries(cores) as [DomainName, number][]);
+    const layout = computeLayout(buildFleet(servers), new Map(), strongest);
     expect(countParts(layout)).toEqual(expected);
   });
 
   it('makes the parts of a domain equally large', () => {
     const fleet = buildFleet({ near: 62, far: 100 });
-    const parts = listParts(computeLayout(fleet, new Map()));
+    const parts = listParts(computeLayout(fleet, new Map(), new Map()));
     const sizes = parts.map(
       (part) =>
         fleet.get(part.domain!)!.filter((id) => isServerInPart(part, { id, domain: part.domain! }))
