--- a/packages/instance/src/bin/warm-up-command.ts
+++ b/packages/instance/src/bin/warm-up-command.ts
@@ -20,7 +20,13 @@
   // eslint-disable-next-line class-methods-use-this -- clipanion calls the command as a method
   override async execute(): Promise<number> {
     const log = createLogger({ name: 'rehearsal', level: 'warn' });
-    await runWarmUp(systemClock, log, WARM_UP_IP, undefined, WARM_UP_ITERATIONS);
+    await runWarmUp({
+      clock: systemClock,
+      log,
+      ip: WARM_UP_IP,
+      iterations: WARM_UP_ITERATIONS,
+      isTrafficHere: () => false,
+    });
     return 0;
   }
 }
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -38,6 +38,8 @@
 
 /** Enough for the optimizing compiler to compile the code paths. */
 const FULL_ITERATIONS: WarmUpIterations = { jobs: 3_000, orders: 5_000, calls: 800 };
+/** The warm-up ends after this time: on a weak machine it would last until traffic comes. */
+const MAX_DURATION_MS = 6_000;
 /** Port of the temporary server that receives the orders; it is closed before traffic starts. */
 const WARM_UP_PORT = 9_465;
 /** Jobs and calls in progress at the same time. */
@@ -79,8 +81,22 @@
   recordJob() {},
 };
 
+interface WarmUpOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly ip: string;
+  readonly callersAddress?: string;
+  readonly iterations?: WarmUpIterations;
+  /** Returns whether callers wait for jobs; the warm-up would delay them. */
+  isTrafficHere(): boolean;
+}
+
 /** Runs jobs on in-memory servers; each job is encoded and decoded as on a link. */
-async function runJobs(clock: Clock, log: Logger, jobs: number): Promise<void> {
+async function runJobs(
+  { clock, log }: WarmUpOptions,
+  jobs: number,
+  isOver: () => boolean,
+): Promise<void> {
   const resolveByJob = new Map<JobId, () => void>();
   const pool = new PoolLeader({
     clock,
@@ -123,7 +139,7 @@
       isDraining: false,
     });
   }
-  for (let submitted = 0; submitted < jobs; submitted += CONCURRENCY) {
+  for (let submitted = 0; submitted < jobs && !isOver(); submitted += CONCURRENCY) {
     const group = Array.from({ length: CONCURRENCY }, async (_unused, index) => {
       const id = (submitted + index).toString(16).padStart(16, '0') as JobId;
       const spec = parseJob(JOB_TEXT, id, QUEUE);
@@ -153,14 +169,18 @@
 }
 
 /** Sends orders over HTTP to a temporary server in this process that runs no tasks. */
-async function sendOrders(clock: Clock, ip: string, orders: number): Promise<void> {
+async function sendOrders(
+  { clock, ip }: WarmUpOptions,
+  orders: number,
+  isOver: () => boolean,
+): Promise<void> {
   const address = `${ip}:${WARM_UP_PORT}` as NetworkAddress;
   const server = new HttpServer(
     new Hono().all('*', (context) => context.json(idleServerReply)).fetch,
   );
   await server.listen(address);
   const client = new ServerClient('warm-up' as ServerId, address, CALL_TIMEOUT_MS);
-  for (let sent = 0; sent < orders; sent += CONCURRENCY) {
+  for (let sent = 0; sent < orders && !isOver(); sent += CONCURRENCY) {
     const group = Array.from({ length: CONCURRENCY }, (_unused, index) =>
       index % 2 === 0
         ? client.startRun({
@@ -185,9 +205,14 @@
 }
 
 /** Calls the instance's own HTTP interface for callers with a route that does not exist. */
-async function sendCalls(clock: Clock, callersAddress: string, calls: number): Promise<void> {
+async function sendCalls(
+  clock: Clock,
+  callersAddress: string,
+  calls: number,
+  isOver: () => boolean,
+): Promise<void> {
   const client = new JsonClient(callersAddress, CONCURRENCY);
-  for (let sent = 0; sent < calls; sent += CONCURRENCY) {
+  for (let sent = 0; sent < calls && !isOver(); sent += CONCURRENCY) {
     const group = Array.from({ length: CONCURRENCY }, () =>
       client.sendJson({
         method: 'POST',
@@ -205,20 +230,17 @@
 /**
  * Runs the code paths of a request before the first request arrives, so that the first callers do not
  * wait for the compiler. Runs only at the first start of the whole system, when no traffic competes
- * for the processor.
+ * for the processor, and ends when the first request arrives or after a limited time.
  */
-export async function runWarmUp(
-  clock: Clock,
-  log: Logger,
-  ip: string,
-  callersAddress: string | undefined,
-  iterations = FULL_ITERATIONS,
-): Promise<void> {
+export async function runWarmUp(options: WarmUpOptions): Promise<void> {
+  const { clock, log, callersAddress, iterations = FULL_ITERATIONS, isTrafficHere } = options;
   const startedMs = clock.now();
-  await runJobs(clock, log, iterations.jobs);
-  await sendOrders(clock, ip, iterations.orders);
+  const isOver = (): boolean => isTrafficHere() || clock.now() - startedMs >= MAX_DURATION_MS;
   if (callersAddress !== undefined) {
-    await sendCalls(clock, callersAddress, iterations.calls);
+    // Every instance serves callers; few of them lead.
+    await sendCalls(clock, callersAddress, iterations.calls, isOver);
   }
+  await runJobs(options, iterations.jobs, isOver);
+  await sendOrders(options, iterations.orders, isOver);
   log.info({ durationMs: Math.round(clock.now() - startedMs) }, 'warm-up finished');
 }
