--- a/packages/soak/src/plan/pick-faults.ts
+++ b/packages/soak/src/plan/pick-faults.ts
@@ -10,7 +10,7 @@
 const LEAST_LENGTH_MS = 200;
 const MOST_LENGTH_MS = 3_000;
 
-const KINDS: readonly SoakFault['kind'][] = [
+const KINDS: readonly Exclude<SoakFault['kind'], 'odd-entry'>[] = [
   'pause',
   'kill',
   'shutdown',
--- a/packages/soak/src/plan/soak-fault.ts
+++ b/packages/soak/src/plan/soak-fault.ts
@@ -15,4 +15,6 @@
   /** The store carries writes out and does not answer them. */
   | { readonly kind: 'store-answers' }
   /** The server carries out a few starts and does not answer them. */
-  | { readonly kind: 'start-answers'; readonly server: number };
+  | { readonly kind: 'start-answers'; readonly server: number }
+  /** Another writer leaves a text among the servers' entries, or over the entry of a server. */
+  | { readonly kind: 'odd-entry'; readonly server: number | undefined; readonly text: string };
--- a/packages/soak/src/run-soak.ts
+++ b/packages/soak/src/run-soak.ts
@@ -3,6 +3,7 @@
 import type { SoakReport } from './checks/soak-report';
 import { pause } from './pause';
 import { pickFaults } from './plan/pick-faults';
+import { pickOddEntries } from './plan/pick-odd-entries';
 import type { SoakOptions } from './plan/soak-options';
 import { SoakSite } from './site/soak-site';
 
@@ -25,7 +26,7 @@
   await site.open();
   await pause(START_MS);
   const callers = new SoakCallers(options.seed, site.callerAddresses, book);
-  const faults = pickFaults(options);
+  const faults = [...pickFaults(options), ...pickOddEntries(options)];
   const timers = faults.map((planned) => setTimeout(() => site.applyFault(planned), planned.atMs));
   if (options.killsAll) {
     timers.push(setTimeout(() => site.killAll(), options.faultsMs));
@@ -37,7 +38,7 @@
     await callers.close();
     const calmSent = callers.sentCount - disturbed;
     const calmServed = callers.countServed(disturbed);
-    const broken = [...book.broken];
+    const broken = [...book.broken, ...site.listCrashes()];
     if (calmServed < CALM_SHARE * calmSent) {
       broken.push(`only ${calmServed} of ${calmSent} jobs are served after the faults`);
     }
--- a/packages/soak/src/site/soak-site.ts
+++ b/packages/soak/src/site/soak-site.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, openSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import { DeployedProcess } from '@guavaspindle/load/deployment/deployed-process';
@@ -24,6 +24,15 @@
 const RESTART_DELAY_MS = 500;
 /** Starts whose answers a server loses in one fault. */
 const LOST_STARTS = 4;
+/** Key of an odd entry that is not a server's own. */
+const ODD_KEY = `${storeKeys.serversPrefix}odd`;
+/** What a process logs that ends by itself. */
+const CRASH_LINE = 'uncaught exception; the process stops';
+
+/** Builds the key of a server's own entry. */
+function buildEntryKey(server: number): string {
+  return `${storeKeys.serversPrefix}i-${server}`;
+}
 
 /** Splits host:port. */
 function splitAddress(address: string): { readonly host: string; readonly port: number } {
@@ -60,6 +69,9 @@
 
   private readonly serverPaths: FaultProxy[] = [];
 
+  /** The servers' own entries in the store, by key. */
+  private readonly entryTexts = new Map<string, string>();
+
   private readonly storePaths: FaultProxy[] = [];
 
   private readonly instances: DeployedProcess[] = [];
@@ -87,10 +99,9 @@
       this.servers.push(server);
       this.serverPaths.push(proxy);
       const zone = DOMAINS[index % DOMAINS.length];
-      this.store.writeText(
-        `${storeKeys.serversPrefix}i-${index}`,
-        buildServerEntry(proxied, { zone }),
-      );
+      const key = buildEntryKey(index);
+      this.entryTexts.set(key, buildServerEntry(proxied, { zone }));
+      this.store.writeText(key, this.entryTexts.get(key)!);
     }
     for (let index = 0; index < this.options.instances; index += 1) {
       // eslint-disable-next-line no-await-in-loop -- one port after the other
@@ -110,6 +121,14 @@
     }, forMs);
   }
 
+  /** Lists the instances that ended by themselves. */
+  listCrashes(): string[] {
+    return this.instances.flatMap((_instance, index) => {
+      const log = readFileSync(join(this.folder, `soak-${index}.log`), 'utf8');
+      return log.includes(CRASH_LINE) ? [`instance ${index} ended by itself`] : [];
+    });
+  }
+
   /** Kills all instances at once and starts them again a little later. */
   killAll(): void {
     this.instances.forEach((instance) => {
@@ -164,6 +183,18 @@
         return () => {
           this.servers[fault.server]!.faults.startAnswersToLose = 0;
         };
+      case 'odd-entry': {
+        const key = fault.server === undefined ? ODD_KEY : buildEntryKey(fault.server);
+        this.store.writeText(key, fault.text);
+        return () => {
+          const text = this.entryTexts.get(key);
+          if (text === undefined) {
+            this.store.deleteKey(key);
+          } else {
+            this.store.writeText(key, text);
+          }
+        };
+      }
       default:
         return fault satisfies never;
     }
