--- a/packages/instance/tests/link-service.test.ts
+++ b/packages/instance/tests/link-service.test.ts
@@ -99,4 +99,39 @@
     requests.close();
     await jest.advanceTimersByTimeAsync(2_000);
   });
+
+  // Entry instances of an earlier build send empty batches, and give up a leader that sends nothing.
+  it('answers an empty batch', async () => {
+    const service = new LinkService(
+      {
+        openEntry: () => 'all',
+        closeEntry() {},
+        submitJob() {},
+        cancelJob: () => false,
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
+    );
+    const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
+    requests.addToBatch((batch) => {
+      batch.hello = create(EntryBatchSchema, { hello: { instance: 'entry-1', part: 'all' } }).hello;
+    });
+    let answers = 0;
+    const replies = service.openLink(requests);
+    const read = async (): Promise<void> => {
+      for (let next = await replies.next(); next.done !== true; next = await replies.next()) {
+        answers += next.value.hello === undefined ? 1 : 0;
+      }
+    };
+    void read();
+    await jest.advanceTimersByTimeAsync(50);
+    expect(answers).toBe(0);
+    requests.addToBatch(() => {});
+    await jest.advanceTimersByTimeAsync(50);
+    expect(answers).toBe(1);
+    requests.close();
+    await jest.advanceTimersByTimeAsync(2_000);
+  });
 });
