--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -3,7 +3,7 @@
 import { dirname, join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
-import { Site } from '../stand-ins/site.mjs';
+import { Site } from '../site.mjs';
 
 const IS_TROUBLED = process.env.TROUBLE !== '0';
 const RESTART_MS = 500;
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,7 @@
 # The stand-ins are plain JavaScript without dependencies: there is nothing to compile, only to check.
 set -e
 cd "$(dirname "$0")"
-for file in stand-ins/*.mjs */run.mjs; do
+for file in *.mjs */run.mjs; do
   node --check "$file"
 done
 test -f ../target/instance.js || (cd .. && node tools/bundle-instance.mjs)
--- a/review/stand-ins/site.mjs
+++ b/review/site.mjs
@@ -10,7 +10,7 @@
 import { Executor } from './executor.mjs';
 import { Store } from './store.mjs';
 
-const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '../..');
+const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), '..');
 const ZONES = ['oviedo', 'santander', 'gijon'];
 const HEARTBEAT_MS = 1500;
 const PORTS = { frontend: 8161, control: 8166, readiness: 8167, internal: 7720, metrics: 9464 };
