Links: a job whose caller left while the link was down ends when the link is opened again

Cause: an entry instance without a link tells nobody that a caller has left, and the leader took a link that was opened again within 300 ms as proof that nothing had changed.

Change: the entry instance submits all its open jobs on a new link and then says so; until then the leader starts nothing of its other jobs, then it drops them. A new link ends the instance's earlier one, whose buffered messages precede the list.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -114,6 +114,7 @@
         job.leaderLostAtMs ??= nowMs;
       }
     });
+    leader?.reportAllSubmitted();
   }
 
   /** Builds the receiver of the messages from the leader of a part. */
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -164,8 +164,8 @@
     this.wakeUp();
   }
 
-  openEntry(name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined {
-    this.pool?.addEntry(name, port);
+  openEntry(name: InstanceName, port: EntryPort, listsJobs: boolean): 'all' | 'domain' | undefined {
+    this.pool?.addEntry(name, port, listsJobs);
     return this.pool === undefined ? undefined : this.scope;
   }
 
@@ -177,6 +177,10 @@
     this.pool?.submitJob(submission);
   }
 
+  dropUnlistedJobs(owner: InstanceName): void {
+    this.pool?.dropUnlistedJobs(owner);
+  }
+
   cancelJob(id: JobId): boolean {
     return this.pool?.cancelJob(id) ?? false;
   }
@@ -509,6 +513,8 @@
     entry.setLeader(part.id, {
       isDomainOnly: scope === 'domain',
       submitJob: (submission) => pool.submitJob({ ...submission, owner: self.name }),
+      // A pool that has just been opened has no other jobs of this instance.
+      reportAllSubmitted() {},
       cancelJob: (id) => port.answerCancel(id, pool.cancelJob(id)),
       dropCaller: (id) => pool.dropCaller(id, self.name),
     });
--- a/packages/instance/src/lead/part-elections.ts
+++ b/packages/instance/src/lead/part-elections.ts
@@ -149,8 +149,13 @@
     this.elections.forEach((election) => election.close());
   }
 
-  openEntry(part: PartId, name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined {
-    return this.elections.get(part)?.openEntry(name, port);
+  openEntry(
+    part: PartId,
+    name: InstanceName,
+    port: EntryPort,
+    listsJobs: boolean,
+  ): 'all' | 'domain' | undefined {
+    return this.elections.get(part)?.openEntry(name, port, listsJobs);
   }
 
   closeEntry(part: PartId, name: InstanceName, port: EntryPort): void {
@@ -161,6 +166,10 @@
     this.elections.get(part)?.submitJob(submission);
   }
 
+  dropUnlistedJobs(part: PartId, owner: InstanceName): void {
+    this.elections.get(part)?.dropUnlistedJobs(owner);
+  }
+
   cancelJob(part: PartId, id: JobId): boolean {
     return this.elections.get(part)?.cancelJob(id) ?? false;
   }
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -114,6 +114,7 @@
         domain: this.self.domain,
         leaderIncarnation: this.leader.incarnation,
         part: this.part,
+        listsJobs: true,
       });
     });
     const replies = client.openLink(this.batches)[Symbol.asyncIterator]();
@@ -145,6 +146,12 @@
     }
   }
 
+  reportAllSubmitted(): void {
+    this.batches.addToBatch((batch) => {
+      batch.allJobsSubmitted = true;
+    });
+  }
+
   cancelJob(id: JobId): void {
     this.batches.addToBatch((batch) => batch.cancels.push(create(JobCancelSchema, { id })));
   }
--- a/packages/instance/src/links/leader-port.ts
+++ b/packages/instance/src/links/leader-port.ts
@@ -6,6 +6,8 @@
   /** The leader leads only its own failure domain, which is cut off. */
   readonly isDomainOnly: boolean;
   submitJob(submission: Omit<EngineSubmission, 'owner'>): void;
+  /** All open jobs at the part have been submitted; the leader drops the others of this instance. */
+  reportAllSubmitted(): void;
   /** Cancels a job at its caller's request; the reply arrives at `EntryPort.answerCancel`. */
   cancelJob(id: JobId): void;
   /** No caller waits for the job at this instance any more. */
--- a/packages/instance/src/links/link-host.ts
+++ b/packages/instance/src/links/link-host.ts
@@ -10,10 +10,20 @@
   /**
    * Connects an entry instance to the leader of a part. Returns whether this instance leads the part
    * in all failure domains or only in its own; undefined if it does not lead the part.
+   *
+   * @param listsJobs - whether the instance submits all its open jobs at once, which `dropUnlistedJobs`
+   *   completes
    */
-  openEntry(part: PartId, name: InstanceName, port: EntryPort): 'all' | 'domain' | undefined;
+  openEntry(
+    part: PartId,
+    name: InstanceName,
+    port: EntryPort,
+    listsJobs: boolean,
+  ): 'all' | 'domain' | undefined;
   closeEntry(part: PartId, name: InstanceName, port: EntryPort): void;
   submitJob(part: PartId, submission: EngineSubmission): void;
+  /** An entry instance has submitted all its open jobs since its link was opened; others are dropped. */
+  dropUnlistedJobs(part: PartId, owner: InstanceName): void;
   cancelJob(part: PartId, id: JobId): boolean;
   /** The caller of a job no longer waits at the entry instance `owner`. */
   dropCaller(part: PartId, id: JobId, owner: InstanceName): void;
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -26,12 +26,14 @@
 /** An open link, seen from the leader. */
 interface OpenLink {
   readonly entry: RemoteEntry;
+  readonly name: InstanceName;
+  readonly part: PartId;
   close(): void;
 }
 
 /** Returns whether a batch, of an instance of an earlier build, asks only for an answer. */
-function isPing({ hello, jobs, cancels }: EntryBatch): boolean {
-  return hello === undefined && jobs.length === 0 && cancels.length === 0;
+function isPing({ hello, jobs, cancels, allJobsSubmitted }: EntryBatch): boolean {
+  return hello === undefined && jobs.length === 0 && cancels.length === 0 && !allJobsSubmitted;
 }
 
 /** Serves the links of entry instances and requests for this instance's view of the leader. */
@@ -57,21 +59,28 @@
   ): AsyncGenerator<LeaderBatch> {
     const iterator = requests[Symbol.asyncIterator]();
     const first = await iterator.next();
-    const name = (first.done === true ? '' : (first.value.hello?.instance ?? '')) as InstanceName;
-    const part = (first.done === true ? '' : (first.value.hello?.part ?? '')) as PartId;
-    const entry = new RemoteEntry(this.clock);
+    const hello = first.done === true ? undefined : first.value.hello;
+    const name = (hello?.instance ?? '') as InstanceName;
+    const part = (hello?.part ?? '') as PartId;
     const session = context?.values.get(sessionKey);
-    const scope = name === '' ? undefined : this.host.openEntry(part, name, entry);
-    yield create(LeaderBatchSchema, {
+    const entry = new RemoteEntry(this.clock);
+    const scope =
+      name === '' ? undefined : this.host.openEntry(part, name, entry, hello?.listsJobs === true);
+    const answer = create(LeaderBatchSchema, {
       hello: {
         isLeader: scope !== undefined,
         isDomainOnly: scope === 'domain',
         readsPings: session !== undefined,
       },
     });
+    yield answer;
     if (scope === undefined) {
       return;
     }
+    // What is still to be read from an earlier link of the instance precedes its present list of jobs.
+    [...this.links]
+      .filter((link) => link.name === name && link.part === part)
+      .forEach((link) => link.close());
     // The generator never resumes if the peer stops reading, so the receiver and the silence timer close
     // the entry without waiting for the `finally` block below.
     let isClosed = false;
@@ -85,6 +94,8 @@
     session?.on('ping', handlePing);
     const link: OpenLink = {
       entry,
+      name,
+      part,
       close: () => {
         if (isClosed) {
           return;
@@ -172,5 +183,8 @@
         }
       });
     });
+    if (batch.allJobsSubmitted) {
+      this.host.dropUnlistedJobs(part, name);
+    }
   }
 }
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -151,12 +151,32 @@
     }
   }
 
-  /** Connects an entry instance. */
-  addEntry(name: InstanceName, port: EntryPort): void {
+  /**
+   * Connects an entry instance, maybe again.
+   *
+   * @param listsJobs - whether the instance submits all its open jobs now and then calls for
+   *   `dropUnlistedJobs`; until then nothing is started for jobs that it may no longer have
+   */
+  addEntry(name: InstanceName, port: EntryPort, listsJobs = false): void {
     this.entries.set(name, port);
     this.entriesSince.set(name, this.options.clock.now());
     this.disconnectedEntries.delete(name);
     this.engine.setOwnerSilent(name, false);
+    if (listsJobs) {
+      this.engine.markJobsUnlisted(name);
+    }
+  }
+
+  /** Drops the jobs that an entry instance has not submitted again since it connected. */
+  dropUnlistedJobs(name: InstanceName): void {
+    const jobs = this.engine.dropUnlistedJobs(name, this.options.clock.now());
+    if (jobs.length > 0) {
+      this.options.log.info(
+        { entry: name, part: this.options.part.id, jobs },
+        'callers left while the link was down; dropping their jobs',
+      );
+    }
+    this.requestSchedulingPass();
   }
 
   /** Records that an entry instance has lost its link; its jobs are dropped unless it reconnects. */
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -50,6 +50,7 @@
     drops,
     cancels,
     submitJob: (job) => submissions.push({ ...job, doneTasks: new Set(job.doneTasks) }),
+    reportAllSubmitted() {},
     cancelJob: (id) => cancels.push(id),
     dropCaller: (id) => drops.push(id),
   };
--- a/packages/instance/tests/leader-link.test.ts
+++ b/packages/instance/tests/leader-link.test.ts
@@ -95,6 +95,7 @@
         },
         submitJob: (_part, { spec }) => submitted.push(spec.id),
         cancelJob: () => false,
+        dropUnlistedJobs() {},
         dropCaller() {},
         getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
       },
--- a/packages/instance/tests/link-service.test.ts
+++ b/packages/instance/tests/link-service.test.ts
@@ -33,6 +33,7 @@
         closeEntry() {},
         submitJob: (_part, { spec }) => submitted.push(spec.id),
         cancelJob: () => false,
+        dropUnlistedJobs() {},
         dropCaller() {},
         getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
       },
@@ -74,6 +75,7 @@
           submitted.push(spec.id);
         },
         cancelJob: () => false,
+        dropUnlistedJobs() {},
         dropCaller() {},
         getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
       },
@@ -100,6 +102,47 @@
     await jest.advanceTimersByTimeAsync(2_000);
   });
 
+  // Guards against a job that is submitted on a link given up before the instance listed its open jobs.
+  it('ignores what arrives on a link after the instance has opened another one', async () => {
+    const submitted: string[] = [];
+    let closed = 0;
+    const service = new LinkService(
+      {
+        openEntry: () => 'all',
+        closeEntry: () => {
+          closed += 1;
+        },
+        submitJob: (_part, { spec }) => submitted.push(spec.id),
+        cancelJob: () => false,
+        dropUnlistedJobs() {},
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
+    );
+    const links = [1, 2].map(() => {
+      const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
+      requests.addToBatch((batch) => {
+        batch.hello = create(EntryBatchSchema, {
+          hello: { instance: 'entry-1', part: 'all', listsJobs: true },
+        }).hello;
+      });
+      return { requests, replies: service.openLink(requests) };
+    });
+    const [first, second] = links;
+    void first!.replies.next().then(() => first!.replies.next());
+    await jest.advanceTimersByTimeAsync(20);
+    void second!.replies.next().then(() => second!.replies.next());
+    await jest.advanceTimersByTimeAsync(20);
+    expect(closed).toBe(1);
+    first!.requests.addToBatch((batch) => batch.jobs.push(encodeJob(buildJobSubmission())));
+    await jest.advanceTimersByTimeAsync(20);
+    expect(submitted).toEqual([]);
+    links.forEach(({ requests }) => requests.close());
+    await jest.advanceTimersByTimeAsync(2_000);
+  });
+
   // Entry instances of an earlier build send empty batches, and give up a leader that sends nothing.
   it('answers an empty batch', async () => {
     const service = new LinkService(
@@ -108,6 +151,7 @@
         closeEntry() {},
         submitJob() {},
         cancelJob: () => false,
+        dropUnlistedJobs() {},
         dropCaller() {},
         getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
       },
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -338,6 +338,47 @@
     pool.close();
   });
 
+  // Guards against a job whose caller left while the link was down: its copy runs in another part.
+  it('drops the jobs that an entry instance has not submitted again on its new link', async () => {
+    const server = new FakeServer();
+    server.runBehavior = { durationMs: 5_000, how: 'done' };
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    const [left, kept] = [buildJobSubmission({ number: 1 }), buildJobSubmission({ number: 2 })];
+    pool.submitJob(left);
+    pool.submitJob(kept);
+    await jest.advanceTimersByTimeAsync(50);
+    pool.dropEntry('entry-1' as InstanceName, entry);
+    await jest.advanceTimersByTimeAsync(100);
+    pool.addEntry('entry-1' as InstanceName, entry, true);
+    pool.submitJob({ ...kept, ...RESUMED });
+    pool.dropUnlistedJobs('entry-1' as InstanceName);
+    await jest.advanceTimersByTimeAsync(200);
+    expect([...server.running.keys()]).toEqual([`${kept.spec.id}.0.0.0`]);
+    expect(pool.openJobs).toBe(1);
+    pool.close();
+  });
+
+  // Guards against a start for a caller that left while the link was down.
+  it('starts nothing of a job before its entry instance has submitted it on its new link', async () => {
+    const server = new FakeServer();
+    server.runBehavior = { durationMs: 300, how: 'done' };
+    const { pool, entry } = buildPool([server]);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildJobSubmission({ number: 1, taskCount: 2 }));
+    await jest.advanceTimersByTimeAsync(50);
+    const waiting = buildJobSubmission({ number: 2 });
+    pool.submitJob(waiting);
+    pool.dropEntry('entry-1' as InstanceName, entry);
+    pool.addEntry('entry-1' as InstanceName, entry, true);
+    await jest.advanceTimersByTimeAsync(500);
+    expect(countStarts([server], `${waiting.spec.id}.0.0.0`)).toBe(0);
+    pool.submitJob(waiting);
+    await jest.advanceTimersByTimeAsync(50);
+    expect(countStarts([server], `${waiting.spec.id}.0.0.0`)).toBe(1);
+    pool.close();
+  });
+
   it('starts nothing and extends nothing once a server has seen a higher token', async () => {
     const server = new FakeServer();
     const { pool, countFenced } = buildPool([server]);
--- a/packages/kernel/src/engine/build-engine-job.ts
+++ b/packages/kernel/src/engine/build-engine-job.ts
@@ -30,6 +30,7 @@
   return {
     spec,
     owner: submission.owner,
+    isUnlisted: false,
     arrivedAtMs: nowMs - submission.ageMs,
     tasks,
     remainingByStep,
--- a/packages/kernel/src/engine/engine-job.ts
+++ b/packages/kernel/src/engine/engine-job.ts
@@ -7,6 +7,11 @@
   readonly spec: JobSpec;
   /** The instance that answers the caller; undefined while no instance waits for the job. */
   owner: InstanceName | undefined;
+  /**
+   * True from the time that the owner has opened its link again until it has submitted the job on it. The
+   * caller may have left while the link was down.
+   */
+  isUnlisted: boolean;
   /** When the caller's first submission arrived, in monotonic milliseconds. */
   readonly arrivedAtMs: number;
   readonly tasks: readonly EngineTask[];
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -138,6 +138,7 @@
     const known = this.jobs.get(spec.id);
     if (known !== undefined) {
       known.owner = owner;
+      known.isUnlisted = false;
       this.failCrashingJob(known, nowMs);
       return;
     }
@@ -175,6 +176,25 @@
       .forEach((job) => this.dropJob(job, 'the instance that had taken the job was lost', nowMs));
   }
 
+  /**
+   * Marks the jobs of an instance that has opened its link again: no task of them starts until the
+   * instance has submitted them on it.
+   */
+  markJobsUnlisted(owner: InstanceName): void {
+    this.jobs.forEach((job) => {
+      if (job.owner === owner) {
+        job.isUnlisted = true;
+      }
+    });
+  }
+
+  /** Ends the jobs that an instance has not submitted on its present link; returns their ids. */
+  dropUnlistedJobs(owner: InstanceName, nowMs: number): JobId[] {
+    const unlisted = [...this.jobs.values()].filter((job) => job.owner === owner && job.isUnlisted);
+    unlisted.forEach((job) => this.dropJob(job, 'its caller left', nowMs));
+    return unlisted.map(({ spec }) => spec.id);
+  }
+
   /**
    * Ends a job for which no caller waits any more (disconnected, timed out or answered), unless
    * another instance owns the job now.
@@ -344,7 +364,7 @@
   /** Refuses jobs that cannot end in useful time and starts the tasks that fit on a server. */
   schedule(nowMs: number): void {
     const waiting = [...this.jobs.values()].filter(
-      (job) => job.remainingTasks > job.runningTasks && !this.isOwnerSilent(job),
+      (job) => job.remainingTasks > job.runningTasks && !this.isOwnerUnheard(job),
     );
     const isRefusalDue = nowMs >= this.nextRefusalCheckMs;
     if (waiting.length === 0 || !(isRefusalDue || this.scheduler.hasFreeCapacity(waiting, nowMs))) {
@@ -381,7 +401,7 @@
   moveWaitingJobs(takeCapacity: (cpuMilli: number) => PartId | undefined, nowMs: number): void {
     this.jobs.forEach((job) => {
       const { owner } = job;
-      if (job.hasStarted || !job.isMovable || owner === undefined || this.isOwnerSilent(job)) {
+      if (job.hasStarted || !job.isMovable || owner === undefined || this.isOwnerUnheard(job)) {
         return;
       }
       const part = takeCapacity(computeRemainingCpuMilli(job));
@@ -701,8 +721,9 @@
     });
   }
 
-  private isOwnerSilent(job: EngineJob): boolean {
-    return job.owner !== undefined && this.silentOwners.has(job.owner);
+  /** Returns whether the caller of a job may have left, or the job may be at another leader by now. */
+  private isOwnerUnheard({ owner, isUnlisted }: EngineJob): boolean {
+    return isUnlisted || (owner !== undefined && this.silentOwners.has(owner));
   }
 
   private canEverRun(job: EngineJob): boolean {
