Links: a link that is given up while it is being opened is closed at the leader

Callers could see a job that stays open, and runs on, at a leader after its entry instance gave up the link before it read the leader's first answer: the generator never resumed, so nothing watched the link.

Cause: the link was registered after the first answer had been read. Change: before.

Evidence: link-service.test.ts, 'closes a link whose first answer is never read', failed before (0 calls of closeEntry 1.8 s after the silence began) and passes now.

--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -73,8 +73,8 @@
         readsPings: session !== undefined,
       },
     });
-    yield answer;
     if (scope === undefined) {
+      yield answer;
       return;
     }
     // What is still to be read from an earlier link of the instance precedes its present list of jobs.
@@ -126,6 +126,7 @@
       })
       .finally(() => link.close());
     try {
+      yield answer;
       yield* entry.batches;
     } finally {
       link.close();
--- a/packages/instance/tests/link-service.test.ts
+++ b/packages/instance/tests/link-service.test.ts
@@ -143,6 +143,34 @@
     await jest.advanceTimersByTimeAsync(2_000);
   });
 
+  // Guards against jobs that stay open at the leader because their instance gave up while it connected.
+  it('closes a link whose first answer is never read', async () => {
+    let closed = 0;
+    const service = new LinkService(
+      {
+        openEntry: () => 'all',
+        closeEntry: () => {
+          closed += 1;
+        },
+        submitJob() {},
+        cancelJob: () => false,
+        dropUnlistedJobs() {},
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
+    );
+    const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
+    requests.addToBatch((batch) => {
+      batch.hello = create(EntryBatchSchema, { hello: { instance: 'entry-1', part: 'all' } }).hello;
+    });
+    void service.openLink(requests).next();
+    await jest.advanceTimersByTimeAsync(3 * linkTiming.silenceTimeoutMs);
+    expect(closed).toBe(1);
+    requests.close();
+  });
+
   // Entry instances of an earlier build send empty batches, and give up a leader that sends nothing.
   it('answers an empty batch', async () => {
     const service = new LinkService(
