Pool leader: after a pause nothing starts for entry instances that have not answered since

Callers could see two runs at once: a leader whose process was paused for more than a second found the leases of its runs expired when it woke, and started the tasks again before it read that their entry instances had closed the links. The copies of these jobs may run in another part by then.

Cause: a message that had waited during the pause counted as heard now. Change: after a gap of more than 400 ms between two passes the leader pings each entry instance, and starts nothing of its jobs before the answer; an entry instance in the same process first ends the waits that are over.

Evidence: pool-leader.test.ts, 'starts nothing after it was paused ...', failed before (2 starts, no request) and passes now; remote-entry, leader-link and entry-jobs have a test each for the answer.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -119,6 +119,7 @@
 
   /** Builds the receiver of the messages from the leader of a part. */
   buildPort(part: PartId): EntryPort {
+    let isUnproved = false;
     return {
       endJob: (id, outcome) => this.endJob(part, id, outcome),
       moveJob: (id, target, wasMovedBefore) => this.moveJob(part, id, target, wasMovedBefore),
@@ -139,7 +140,14 @@
       // `LeaderElection` calls `setLeader` itself when the instance stops leading.
       endLink() {},
       // Only the port of a leader in the same process is asked; it has no link that can fall silent.
-      isSilent: () => false,
+      isSilent: () => isUnproved,
+      requestProof() {
+        isUnproved = true;
+        // Timers run in the order of their times: waits that ended during a pause are given up before.
+        setTimeout(() => {
+          isUnproved = false;
+        }, 1);
+      },
     };
   }
 
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -27,4 +27,9 @@
   endLink(): void;
   /** Returns whether no message has arrived from the entry instance for several ping intervals. */
   isSilent(): boolean;
+  /**
+   * Asks whether the entry instance still uses the link; it counts as silent until it has answered. What
+   * has arrived before says nothing about it.
+   */
+  requestProof(): void;
 }
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -1,4 +1,5 @@
 /* eslint-disable no-await-in-loop -- messages are handled one at a time */
+import type { Http2Session } from 'node:http2';
 import { create } from '@bufbuild/protobuf';
 import type { HandlerContext, ServiceImpl } from '@connectrpc/connect';
 import type Logger from 'bunyan';
@@ -36,6 +37,19 @@
   return hello === undefined && jobs.length === 0 && cancels.length === 0 && !allJobsSubmitted;
 }
 
+/** Builds a function that sends a ping on a connection and calls back once the peer has answered it. */
+function buildPingSender(session: Http2Session): (onAnswered: () => void) => void {
+  return (onAnswered) => {
+    if (!session.destroyed) {
+      session.ping((error) => {
+        if (error === null) {
+          onAnswered();
+        }
+      });
+    }
+  };
+}
+
 /** Serves the links of entry instances and requests for this instance's view of the leader. */
 export class LinkService implements ServiceImpl<typeof InstanceService> {
   private readonly links = new Set<OpenLink>();
@@ -63,7 +77,7 @@
     const name = (hello?.instance ?? '') as InstanceName;
     const part = (hello?.part ?? '') as PartId;
     const session = context?.values.get(sessionKey);
-    const entry = new RemoteEntry(this.clock);
+    const entry = new RemoteEntry(this.clock, session && buildPingSender(session));
     const scope =
       name === '' ? undefined : this.host.openEntry(part, name, entry, hello?.listsJobs === true);
     const answer = create(LeaderBatchSchema, {
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -44,7 +44,14 @@
   /** Whether that message said that the entry instance has no open jobs here. */
   private isIdle = false;
 
-  constructor(private readonly clock: Clock) {
+  /** Whether the entry instance has been asked for a proof that it still uses the link. */
+  private isUnproved = false;
+
+  /** @param sendPing - sends a ping on the link's connection; undefined if that cannot send any */
+  constructor(
+    private readonly clock: Clock,
+    private readonly sendPing?: (onAnswered: () => void) => void,
+  ) {
     this.heardAt = clock.now();
   }
 
@@ -60,9 +67,19 @@
     return this.clock.now() - this.heardAt > timeoutMs;
   }
 
+  requestProof(): void {
+    if (this.sendPing !== undefined) {
+      this.isUnproved = true;
+      this.sendPing(() => {
+        this.isUnproved = false;
+      });
+    }
+  }
+
   isSilent(): boolean {
     const { idleSilenceTimeoutMs, startSuspensionMs } = linkTiming;
     return (
+      this.isUnproved ||
       this.clock.now() - this.heardAt > (this.isIdle ? idleSilenceTimeoutMs : startSuspensionMs)
     );
   }
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -8,6 +8,7 @@
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import { isServerInPart } from '@guavaspindle/kernel/layout/is-server-in-part';
 import type { EntryPort } from '../links/entry-port';
+import { linkTiming } from '../links/link-timing';
 import type { FleetListener } from '../store/fleet-listener';
 import { ProcessLoadMeter } from '../process/process-load-meter';
 import type { PoolOptions } from './pool-options';
@@ -67,6 +68,9 @@
 
   private isClosed = false;
 
+  /** When the event loop last ran a tick or a pass, in monotonic milliseconds. */
+  private awakeAtMs: number;
+
   private fencingToken: number;
 
   private ticker: NodeJS.Timeout | undefined;
@@ -89,6 +93,7 @@
     this.fencingToken = options.fencingToken;
     this.engine = new JobEngine(options.domain === undefined);
     this.loadReportedAtMs = options.clock.now();
+    this.awakeAtMs = this.loadReportedAtMs;
     this.meter = new ProcessLoadMeter(this.loadReportedAtMs);
     this.scheduleTick();
   }
@@ -345,6 +350,22 @@
     this.runSchedulingPass();
   }
 
+  /**
+   * Asks all entry instances for a proof after a pause of this process, in which they may have given up
+   * their links and answered their callers: what they sent before it is read only now.
+   */
+  private checkPause(nowMs: number): void {
+    const pausedMs = nowMs - this.awakeAtMs;
+    this.awakeAtMs = nowMs;
+    if (pausedMs > linkTiming.startSuspensionMs) {
+      this.options.log.warn(
+        { part: this.options.part.id, pausedMs: Math.round(pausedMs) },
+        'this process was paused; starting nothing for entry instances until they answer',
+      );
+      this.entries.forEach((port) => port.requestProof());
+    }
+  }
+
   private reportSpareCapacity(): void {
     const load = {
       spareCpuMilli: Math.max(
@@ -405,6 +426,7 @@
       return;
     }
     const nowMs = this.options.clock.now();
+    this.checkPause(nowMs);
     this.entries.forEach((port, name) => this.engine.setOwnerSilent(name, port.isSilent()));
     this.engine.schedule(nowMs);
     const { part, offers, onTasksWaiting } = this.options;
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -125,6 +125,7 @@
     reportLeaving() {},
     endLink() {},
     isSilent: () => false,
+    requestProof() {},
   };
   pool.addEntry(OWNER, entry);
   for (let index = 0; index < SERVER_COUNT; index += 1) {
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -76,6 +76,22 @@
     expect(leader.submissions).toHaveLength(1);
   });
 
+  // Guards against a start, by a leader in the same process, for a caller whose wait ended in a pause.
+  it('gives up the waits that ended during a pause before it proves that it is there', async () => {
+    const entry = buildEntry();
+    const leader = buildLeader();
+    entry.setLeader(ALL, leader);
+    const port = entry.buildPort(ALL);
+    const { spec } = buildJobSubmission();
+    const answer = entry.runJob(spec, 1, NEVER);
+    port.requestProof();
+    expect(port.isSilent()).toBe(true);
+    await jest.advanceTimersByTimeAsync(1);
+    expect(port.isSilent()).toBe(false);
+    expect(leader.drops).toEqual([spec.id]);
+    expect(await answer).toMatchObject({ kind: 'unknown' });
+  });
+
   it('tells a new leader which tasks are done and how long prior runs may stay alive', async () => {
     const entry = buildEntry();
     const first = buildLeader();
--- a/packages/instance/tests/leader-link.test.ts
+++ b/packages/instance/tests/leader-link.test.ts
@@ -13,6 +13,7 @@
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import { ControlServer } from '@guavaspindle/runtime/control/control-server';
 import { FaultProxy } from '@guavaspindle/platform-adapter/stand-ins/fault-proxy';
+import type { EntryPort } from '../src/links/entry-port';
 import { LeaderLink } from '../src/links/leader-link';
 import { LinkService } from '../src/links/link-service';
 import { LinkSession } from '../src/links/link-session';
@@ -52,7 +53,7 @@
   let link: LeaderLink;
   let entry: RecordingEntry;
   let submitted: string[];
-  let leaderPort: { reportLoad(load: { spareCpuMilli: number; loopLagMs: number }): void };
+  let leaderPort: EntryPort;
   let leaderSide: { closed: number };
   let closedFor: string | undefined;
   let closedAtMs = 0;
@@ -114,6 +115,15 @@
     jest.restoreAllMocks();
   });
 
+  it('proves to the leader that it is in use when the leader asks', async () => {
+    flags.current = { isIdle: false, isReportNeeded: false };
+    expect(await openLink()).toBe('up');
+    leaderPort.requestProof();
+    expect(leaderPort.isSilent()).toBe(true);
+    await pause(SLACK_MS);
+    expect(leaderPort.isSilent()).toBe(false);
+  });
+
   // Guards against the cost of links that nobody uses: hundreds of machines link to each leader.
   it.each([
     ['without open jobs', true, linkTiming.idlePingIntervalMs],
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -5,6 +5,7 @@
 import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import type { ServiceName } from '@guavaspindle/kernel/ids/service-name';
 import type { TaskId } from '@guavaspindle/kernel/ids/task-id';
+import { systemClock } from '@guavaspindle/kernel/time/system-clock';
 import { buildJobSubmission } from './fixtures/build-job-submission';
 import { buildPool } from './fixtures/build-pool';
 import { buildServerReport } from './fixtures/build-server-report';
@@ -379,6 +380,26 @@
     pool.close();
   });
 
+  // Guards against a start for a caller that left while the process of the leader was paused.
+  it('starts nothing after it was paused until its entry instances have answered', async () => {
+    const server = new FakeServer();
+    const times = { pausedMs: 0 };
+    const clock = { ...systemClock, now: () => systemClock.now() + times.pausedMs };
+    const { pool, entry } = buildPool([server], { clock });
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildJobSubmission({ number: 1 }));
+    await jest.advanceTimersByTimeAsync(100);
+    expect([server.starts.length, entry.proofsRequested]).toEqual([1, 0]);
+    times.pausedMs = 900;
+    pool.submitJob(buildJobSubmission({ number: 2 }));
+    await jest.advanceTimersByTimeAsync(200);
+    expect([server.starts.length, entry.proofsRequested]).toEqual([1, 1]);
+    entry.isQuiet = false;
+    await jest.advanceTimersByTimeAsync(100);
+    expect(server.starts).toHaveLength(2);
+    pool.close();
+  });
+
   it('starts nothing and extends nothing once a server has seen a higher token', async () => {
     const server = new FakeServer();
     const { pool, countFenced } = buildPool([server]);
