Pool leader: a new leader reads all server entries after its claim before resumed jobs start

Cause: each instance follows the entries at its own pace (500 ms between two watches), and the block on resumed jobs ended once all servers in the new leader's mirror had answered, though one was missing.

Change: a new leader reads the entries after its claim, and no resumed job starts before. A leader uses a server that registered after its claim only once it has read that the claim is still in force, so that every server of an earlier leader registered before the later claim. The order is that of the store's revisions. The mirror skips changes that are older than what it has read.

--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -113,6 +113,7 @@
     token: number,
     scope: 'all' | 'domain',
     onFenced: () => void,
+    confirmClaim: () => Promise<boolean>,
   ): PoolLeader => {
     const pool = new PoolLeader({
       clock,
@@ -124,6 +125,14 @@
       maxLeaseMs: settings.maxLeaseMs,
       stopTimeoutMs: settings.stopTimeoutMs,
       openServerClient: ({ id, address }) => new ServerClient(id, address, ORDER_TIMEOUT_MS),
+      readServers: async () => {
+        const snapshot = await store.readPrefix(storeKeys.serversPrefix);
+        if (snapshot.isOk()) {
+          fleet.onSnapshot(snapshot.value);
+        }
+        return snapshot.isOk();
+      },
+      confirmClaim,
       offers,
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
       onTasksWaiting: () => elections.requestReports(),
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -38,13 +38,15 @@
   isReportNeeded(): boolean;
   /**
    * Starts leading the servers of the part (`all`) or only those of them in this instance's failure
-   * domain (`domain`). `onFenced` is called when a server has seen a higher fencing token.
+   * domain (`domain`). `onFenced` is called when a server has seen a higher fencing token;
+   * `confirmClaim` reads the claim from the store and returns whether it is still this instance's.
    */
   openPool(
     part: PoolPart,
     token: number,
     scope: 'all' | 'domain',
     onFenced: () => void,
+    confirmClaim: () => Promise<boolean>,
   ): PoolLeader;
 }
 
@@ -502,10 +504,16 @@
     this.scope = scope;
     this.wasFenced = false;
     this.isLeaderLeaving = false;
-    const pool = this.options.openPool(part, token, scope, () => {
-      this.wasFenced = true;
-      this.wakeUp();
-    });
+    const pool = this.options.openPool(
+      part,
+      token,
+      scope,
+      () => {
+        this.wasFenced = true;
+        this.wakeUp();
+      },
+      () => this.confirmClaim(),
+    );
     this.pool = pool;
     this.link?.close('this instance leads');
     const port = entry.buildPort(part.id);
@@ -520,6 +528,14 @@
     });
   }
 
+  private async confirmClaim(): Promise<boolean> {
+    const { registry, part, self } = this.options;
+    return (
+      (await registry.readNow()) &&
+      registry.findClaim(part.id)?.leader.incarnation === self.incarnation
+    );
+  }
+
   private stopLeading(reason: string): void {
     const { pool } = this;
     if (pool === undefined) {
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -12,6 +12,7 @@
 import type { FleetListener } from '../store/fleet-listener';
 import { ProcessLoadMeter } from '../process/process-load-meter';
 import type { PoolOptions } from './pool-options';
+import { FleetKnowledge } from './fleet-knowledge';
 import { ServerSession } from './server-session';
 
 /**
@@ -57,6 +58,9 @@
    */
   private readonly relocations = new Map<ServerId, ServerReport>();
 
+  /** What this leader knows of the servers; undefined for the leader of a domain that is cut off. */
+  private readonly knowledge: FleetKnowledge | undefined;
+
   private readonly entries = new Map<InstanceName, EntryPort>();
 
   /** When each connected entry instance opened its link, in monotonic milliseconds. */
@@ -92,10 +96,21 @@
   constructor(private readonly options: PoolOptions) {
     this.fencingToken = options.fencingToken;
     this.engine = new JobEngine(options.domain === undefined);
+    this.knowledge =
+      options.domain === undefined
+        ? new FleetKnowledge(options.fencingToken, {
+            clock: options.clock,
+            readServers: () => options.readServers(),
+            confirmClaim: () => options.confirmClaim(),
+            onServersRead: () => this.checkWholePool(),
+            onServerConfirmed: (report) => this.registerServer(report),
+          })
+        : undefined;
     this.loadReportedAtMs = options.clock.now();
     this.awakeAtMs = this.loadReportedAtMs;
     this.meter = new ProcessLoadMeter(this.loadReportedAtMs);
     this.scheduleTick();
+    void this.knowledge?.readServers();
   }
 
   /** Number of open jobs. */
@@ -103,10 +118,11 @@
     return this.engine.openJobs;
   }
 
-  adoptServer(report: ServerReport): void {
+  adoptServer(report: ServerReport, registeredRevision: number): void {
     const { part, domain } = this.options;
     const known = this.engine.fleet.findServer(report.id);
     if (!isServerInPart(part, report) || (domain !== undefined && report.domain !== domain)) {
+      this.knowledge?.dropServer(report.id);
       if (known !== undefined && !this.deregisteredServers.has(report.id)) {
         this.dropServer(report.id);
       }
@@ -133,15 +149,14 @@
       this.checkRelocation(report.id);
       return;
     }
-    const server = this.engine.fleet.registerServer(report);
-    if (!this.sessions.has(report.id)) {
-      this.openSession(report, server);
+    if (known !== undefined || this.knowledge?.admitServer(report, registeredRevision) !== false) {
+      this.registerServer(report);
     }
-    this.requestSchedulingPass();
   }
 
   /** Starts nothing more on a server whose store entry has been deleted, but keeps polling it. */
   dropServer(id: ServerId): void {
+    this.knowledge?.dropServer(id);
     const server = this.engine.fleet.findServer(id);
     if (server !== undefined) {
       const nowMs = this.options.clock.now();
@@ -227,6 +242,7 @@
   adoptToken(token: number): void {
     this.fencingToken = token;
     this.requestAllConfirmations();
+    void this.knowledge?.adoptClaim(token);
   }
 
   /**
@@ -240,6 +256,7 @@
   /** Stops leading at once without stopping runs; the next leader of all domains may adopt them. */
   close(): void {
     this.isClosed = true;
+    this.knowledge?.close();
     clearTimeout(this.ticker);
     this.options.metrics.recordLoad(undefined);
     this.options.onClosed(this);
@@ -252,6 +269,14 @@
     this.sessions.forEach((session) => session.requestConfirmation());
   }
 
+  private registerServer(report: ServerReport): void {
+    const server = this.engine.fleet.registerServer(report);
+    if (!this.sessions.has(report.id)) {
+      this.openSession(report, server);
+    }
+    this.requestSchedulingPass();
+  }
+
   private openSession(
     report: ServerReport,
     server: ReturnType<JobEngine['fleet']['registerServer']>,
@@ -266,7 +291,7 @@
         stopTimeoutMs,
         fencingToken: () => this.fencingToken,
         onChange: () => this.requestSchedulingPass(),
-        onConfirmed: () => this.handleServerConfirmed(),
+        onConfirmed: () => this.checkWholePool(),
         onUnknownRun: () => this.handleUnknownRun(),
         onFenced: () => this.options.onFenced(),
       },
@@ -298,12 +323,12 @@
     }
   }
 
-  private handleServerConfirmed(): void {
+  private checkWholePool(): void {
     const isWholePoolConfirmed =
-      this.options.domain === undefined &&
+      this.knowledge?.isComplete === true &&
       [...this.engine.fleet.listServers()].every(({ state }) => state === 'usable');
     if (isWholePoolConfirmed) {
-      // All known servers have listed their runs, including those that an earlier leader started.
+      // All servers have listed their runs, including those that an earlier leader started.
       this.engine.releaseBlockedTasks();
     }
     this.requestSchedulingPass();
--- a/packages/instance/src/pool/pool-options.ts
+++ b/packages/instance/src/pool/pool-options.ts
@@ -22,6 +22,10 @@
   readonly stopTimeoutMs: number;
   /** Opens a client for a server. */
   openServerClient(report: ServerReport): ServerApi;
+  /** Reads all server entries from the store and adopts them; returns false if the store does not answer. */
+  readServers(): Promise<boolean>;
+  /** Reads the claim of the part from the store; returns whether this leader's is still in force. */
+  confirmClaim(): Promise<boolean>;
   /** The spare capacity of other parts. */
   readonly offers: PartOffers;
   /** Called in each scheduling pass that leaves tasks waiting: other parts may have capacity for them. */
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -108,6 +108,8 @@
     maxLeaseMs: 1_000,
     stopTimeoutMs: 50,
     openServerClient: () => new InMemoryServer(),
+    readServers: async () => true,
+    confirmClaim: async () => true,
     offers: new PartOffers(),
     onTasksWaiting() {},
     onFenced() {},
@@ -129,16 +131,19 @@
   };
   pool.addEntry(OWNER, entry);
   for (let index = 0; index < SERVER_COUNT; index += 1) {
-    pool.adoptServer({
-      id: `warm-up-${index}` as ServerId,
-      service: SERVICE,
-      domain: 'warm-up' as DomainName,
-      address: 'in-memory:1' as NetworkAddress,
-      bornMs: 1,
-      capacity: { cpuMilli: 4_000, memoryMb: 4_096, gpus: 0 },
-      labels: [],
-      isDraining: false,
-    });
+    pool.adoptServer(
+      {
+        id: `warm-up-${index}` as ServerId,
+        service: SERVICE,
+        domain: 'warm-up' as DomainName,
+        address: 'in-memory:1' as NetworkAddress,
+        bornMs: 1,
+        capacity: { cpuMilli: 4_000, memoryMb: 4_096, gpus: 0 },
+        labels: [],
+        isDraining: false,
+      },
+      1,
+    );
   }
   for (let submitted = 0; submitted < jobs && !isOver(); submitted += CONCURRENCY) {
     const group = Array.from({ length: CONCURRENCY }, async (_unused, index) => {
--- a/packages/instance/src/store/fleet-listener.ts
+++ b/packages/instance/src/store/fleet-listener.ts
@@ -3,7 +3,8 @@
 
 /** Receives changes of the backend servers. */
 export interface FleetListener {
-  adoptServer(report: ServerReport): void;
+  /** @param registeredRevision - store revision at which the server's entry was created */
+  adoptServer(report: ServerReport, registeredRevision: number): void;
   /** The server's entry has been removed from the store: it gets no new work. */
   dropServer(id: ServerId): void;
 }
--- a/packages/instance/src/store/fleet-mirror.ts
+++ b/packages/instance/src/store/fleet-mirror.ts
@@ -18,9 +18,19 @@
  */
 const MISSING_ENTRY_GRACE_MS = 2_500;
 
+/** The entry of a backend server in the store. */
+interface ServerEntry {
+  readonly report: ServerReport;
+  /** Store revision at which the entry was created. */
+  readonly registeredRevision: number;
+}
+
 /** Mirrors the backend servers' entries in the store and passes changes to listeners. */
 export class FleetMirror implements MirrorListener {
-  private readonly reports = new Map<ServerId, ServerReport>();
+  private readonly entries = new Map<ServerId, ServerEntry>();
+
+  /** Store revision of the last change of each known entry; older changes are read late. */
+  private readonly revisions = new Map<ServerId, number>();
 
   /** When the entry of a server went missing, in monotonic milliseconds; it may still come back. */
   private readonly missingSince = new Map<ServerId, number>();
@@ -37,8 +47,10 @@
   /** Passes all known servers and every later change to a listener. */
   addListener(listener: FleetListener): void {
     this.listeners.add(listener);
-    this.reports.forEach((report) =>
-      runIsolated(this.log, { server: report.id }, () => listener.adoptServer(report)),
+    this.entries.forEach(({ report, registeredRevision }) =>
+      runIsolated(this.log, { server: report.id }, () =>
+        listener.adoptServer(report, registeredRevision),
+      ),
     );
   }
 
@@ -50,7 +62,7 @@
   /** Lists the known servers by failure domain. */
   listServers(): ReadonlyMap<DomainName, readonly ServerId[]> {
     const byDomain = new Map<DomainName, ServerId[]>();
-    this.reports.forEach(({ id, domain }) => {
+    this.entries.forEach(({ report: { id, domain } }) => {
       const servers = byDomain.get(domain) ?? [];
       servers.push(id);
       byDomain.set(domain, servers);
@@ -58,10 +70,11 @@
     return byDomain;
   }
 
-  onSnapshot({ items }: StoreSnapshot): void {
+  onSnapshot({ items, revision }: StoreSnapshot): void {
     const listed = new Set(items.map((item) => this.applyItem(item)));
-    this.reports.forEach((_report, id) => {
-      if (!listed.has(id)) {
+    this.entries.forEach((_entry, id) => {
+      // An entry that was written after the snapshot had begun may be missing from it.
+      if (!listed.has(id) && (this.revisions.get(id) ?? 0) <= revision) {
         this.markMissing(id);
       }
     });
@@ -72,8 +85,11 @@
       if (event.kind === 'written') {
         this.applyItem(event.item);
       } else {
-        this.ignoredKeys.delete(event.key);
-        this.markMissing(event.key.slice(storeKeys.serversPrefix.length) as ServerId);
+        const id = event.key.slice(storeKeys.serversPrefix.length) as ServerId;
+        if (event.revision >= (this.revisions.get(id) ?? 0)) {
+          this.ignoredKeys.delete(event.key);
+          this.markMissing(id);
+        }
       }
     });
   }
@@ -84,7 +100,8 @@
     this.missingSince.forEach((sinceMs, id) => {
       if (nowMs - sinceMs >= MISSING_ENTRY_GRACE_MS) {
         this.missingSince.delete(id);
-        this.reports.delete(id);
+        this.entries.delete(id);
+        this.revisions.delete(id);
         this.log.info({ server: id }, 'server dropped: its entry has not come back to the store');
         this.listeners.forEach((listener) =>
           runIsolated(this.log, { server: id }, () => listener.dropServer(id)),
@@ -94,13 +111,17 @@
   }
 
   private markMissing(id: ServerId): void {
-    if (this.reports.has(id) && !this.missingSince.has(id)) {
+    if (this.entries.has(id) && !this.missingSince.has(id)) {
       this.missingSince.set(id, this.clock.now());
     }
   }
 
-  private applyItem({ key, text }: StoreItem): ServerId | undefined {
+  private applyItem(item: StoreItem): ServerId | undefined {
+    const { key, text, revision, createdRevision: registeredRevision } = item;
     const id = key.slice(storeKeys.serversPrefix.length) as ServerId;
+    if (revision < (this.revisions.get(id) ?? 0)) {
+      return id;
+    }
     const report = parseServerEntry(id, text);
     if (report === undefined) {
       if (!this.ignoredKeys.has(key)) {
@@ -113,11 +134,14 @@
     }
     this.ignoredKeys.delete(key);
     this.missingSince.delete(id);
-    const known = this.reports.get(id);
-    this.reports.set(id, report);
-    if (known === undefined || JSON.stringify(known) !== JSON.stringify(report)) {
+    const known = this.entries.get(id);
+    this.entries.set(id, { report, registeredRevision });
+    this.revisions.set(id, revision);
+    if (known === undefined || JSON.stringify(known.report) !== JSON.stringify(report)) {
       this.listeners.forEach((listener) =>
-        runIsolated(this.log, { server: id }, () => listener.adoptServer(report)),
+        runIsolated(this.log, { server: id }, () =>
+          listener.adoptServer(report, registeredRevision),
+        ),
       );
     }
     return id;
--- a/packages/instance/tests/changing-capacity.test.ts
+++ b/packages/instance/tests/changing-capacity.test.ts
@@ -34,7 +34,7 @@
     }
     await jest.advanceTimersByTimeAsync(50);
     const report = buildServerReport(0);
-    pool.adoptServer({ ...report, capacity: { ...report.capacity, cpuMilli } });
+    pool.adoptServer({ ...report, capacity: { ...report.capacity, cpuMilli } }, 1);
     for (let number = jobsBefore + 1; number <= jobsAfter; number += 1) {
       submit(number);
     }
@@ -51,12 +51,12 @@
     const first = buildJobSubmission({ number: 1 });
     pool.submitJob(first);
     await jest.advanceTimersByTimeAsync(10);
-    pool.adoptServer({ ...report, capacity: { ...report.capacity, cpuMilli: 30_000 } });
+    pool.adoptServer({ ...report, capacity: { ...report.capacity, cpuMilli: 30_000 } }, 1);
     const second = buildJobSubmission({ number: 2, cpuMilli: 28_000 });
     pool.submitJob(second);
     await jest.advanceTimersByTimeAsync(30);
     expect(server.starts).toHaveLength(1);
-    pool.adoptServer(report);
+    pool.adoptServer(report, 1);
     await jest.advanceTimersByTimeAsync(300);
     expect(entry.outcomes.get(second.spec.id)).toEqual({ kind: 'completed' });
     pool.close();
--- a/packages/instance/tests/crashing-tasks.test.ts
+++ b/packages/instance/tests/crashing-tasks.test.ts
@@ -189,7 +189,7 @@
     pool.submitJob(JOB);
     await jest.advanceTimersByTimeAsync(10);
     const index = servers.findIndex(({ running }) => running.has(TASK));
-    pool.adoptServer({ ...buildServerReport(index), isDraining: true });
+    pool.adoptServer({ ...buildServerReport(index), isDraining: true }, 1);
     servers[index]!.isCutOff = true;
     await jest.advanceTimersByTimeAsync(2_000);
     expect(entry.outcomes.get(JOB.spec.id)).toEqual({ kind: 'completed' });
--- a/packages/instance/tests/fleet-mirror.test.ts
+++ b/packages/instance/tests/fleet-mirror.test.ts
@@ -29,8 +29,8 @@
   return { mirror, adopted, dropped, lines };
 }
 
-function buildItem(id: string, text = buildServerEntry('10.1.0.9:80')): StoreItem {
-  return { key: `servers/${id}`, text, revision: 1 };
+function buildItem(id: string, text = buildServerEntry('10.1.0.9:80'), revision = 1): StoreItem {
+  return { key: `servers/${id}`, text, revision, createdRevision: 1 };
 }
 
 describe('FleetMirror', () => {
@@ -52,6 +52,24 @@
     expect(lines.records).toHaveLength(1);
   });
 
+  // Guards against a server that is used again because a watch reports what it was before the entries
+  // were read for a new leader.
+  it('ignores changes that are older than what it has read', () => {
+    const { mirror, adopted, dropped } = buildMirror();
+    mirror.onSnapshot({
+      items: [buildItem('i-1', buildServerEntry('10.1.0.9:81'), 5)],
+      revision: 5,
+    });
+    mirror.onEvents([
+      { kind: 'written', item: buildItem('i-1', buildServerEntry('10.1.0.9:80'), 3) },
+      { kind: 'deleted', key: 'servers/i-1', revision: 4 },
+    ]);
+    mirror.onSnapshot({ items: [], revision: 4 });
+    jest.advanceTimersByTime(AFTER_GRACE_MS);
+    mirror.dropMissing();
+    expect({ adopted, dropped }).toEqual({ adopted: ['i-1'], dropped: [] });
+  });
+
   // Guards against a server that stays in use, or not, depending on how its overwritten entry was read.
   it.each(['events', 'snapshot'] as const)(
     'drops a server whose entry has become invalid, read by %s, and adopts it again',
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -86,8 +86,8 @@
       const job = buildJobSubmission({ taskCount: 2 });
       pool.submitJob(job);
       await jest.advanceTimersByTimeAsync(50);
-      pool.adoptServer({ ...buildServerReport(0), ...change });
-      pool.adoptServer(buildServerReport(2));
+      pool.adoptServer({ ...buildServerReport(0), ...change }, 1);
+      pool.adoptServer(buildServerReport(2), 1);
       await jest.advanceTimersByTimeAsync(2_000);
       expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
       expect(servers.map(({ starts }) => starts.length)).toEqual([2, 0, 0]);
@@ -102,7 +102,7 @@
     await jest.advanceTimersByTimeAsync(20);
     pool.submitJob(buildJobSubmission({ number: 1 }));
     await jest.advanceTimersByTimeAsync(50);
-    pool.adoptServer({ ...buildServerReport(0), address: buildServerReport(1).address });
+    pool.adoptServer({ ...buildServerReport(0), address: buildServerReport(1).address }, 1);
     const next = buildJobSubmission({ number: 2 });
     pool.submitJob(next);
     await jest.advanceTimersByTimeAsync(200);
@@ -171,7 +171,7 @@
     servers[1]!.beginRun(task, 1);
     pool.submitJob(job);
     // The answer of a new server says nothing about the other servers.
-    pool.adoptServer(buildServerReport(2));
+    pool.adoptServer(buildServerReport(2), 1);
     for (let elapsedMs = 0; elapsedMs < 550; elapsedMs += 10) {
       await jest.advanceTimersByTimeAsync(10);
       expect(countRunning(servers, task)).toBe(1);
@@ -182,6 +182,60 @@
     pool.close();
   });
 
+  // Guards against a second run of a task that an earlier leader started on a server that had just
+  // registered: this leader's mirror of the entries did not have the server yet.
+  it.each([
+    ['once the entries have been read since its claim', 0],
+    ['once the store answers', 3],
+  ])('starts a resumed job only %s', async (_name, unansweredReads) => {
+    const servers = [new FakeServer(), new FakeServer()];
+    const job = buildJobSubmission({ changes: RESUMED });
+    const task = `${job.spec.id}.0.0.0` as TaskId;
+    servers[1]!.runBehavior = { durationMs: 700, how: 'done' };
+    servers[1]!.beginRun(task, 1);
+    let reads = 0;
+    const { pool, entry } = buildPool(servers, {
+      token: 20,
+      listed: 1,
+      readServers: async (leader) => {
+        reads += 1;
+        await systemClock.pause(50);
+        if (reads <= unansweredReads) {
+          return false;
+        }
+        leader.adoptServer(buildServerReport(1), 15);
+        return true;
+      },
+    });
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(1_000);
+    expect(countStarts(servers, task)).toBe(1);
+    expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
+  // Guards against starts, by a leader that has been replaced without knowing it, on a server that the
+  // next leader does not know and so has not fenced.
+  it('uses a server that registered after its claim only once the claim is confirmed', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    servers[0]!.runBehavior = { durationMs: 5_000, how: 'done' };
+    let isInForce = false;
+    const { pool } = buildPool(servers, {
+      token: 20,
+      listed: 1,
+      confirmClaim: async () => isInForce,
+    });
+    pool.adoptServer(buildServerReport(1), 21);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildJobSubmission({ taskCount: 4 }));
+    await jest.advanceTimersByTimeAsync(40);
+    expect(servers.map(({ starts }) => starts.length)).toEqual([2, 0]);
+    isInForce = true;
+    await jest.advanceTimersByTimeAsync(200);
+    expect(servers.map(({ starts }) => starts.length)).toEqual([2, 2]);
+    pool.close();
+  });
+
   it('starts a resumed job only after leases on unknown servers have expired', async () => {
     const servers = [new FakeServer(), new FakeServer()];
     const { pool } = buildPool(servers, { listed: 1 });
--- a/packages/instance/tests/silent-servers.test.ts
+++ b/packages/instance/tests/silent-servers.test.ts
@@ -34,7 +34,7 @@
       await jest.advanceTimersByTimeAsync(300);
       // Another server is free, so nothing but the run itself keeps the task from starting again.
       servers.push(new FakeServer());
-      pool.adoptServer(buildServerReport(1));
+      pool.adoptServer(buildServerReport(1), 1);
       servers[0]!.isCutOff = true;
       await jest.advanceTimersByTimeAsync(silenceMs);
       servers[0]!.isCutOff = false;
@@ -83,10 +83,10 @@
       pool.submitJob(job);
       await jest.advanceTimersByTimeAsync(100);
       servers.push(new FakeServer());
-      pool.adoptServer(buildServerReport(1));
+      pool.adoptServer(buildServerReport(1), 1);
       pool.dropServer(SERVER);
       await jest.advanceTimersByTimeAsync(missingMs);
-      pool.adoptServer(buildServerReport(0));
+      pool.adoptServer(buildServerReport(0), 1);
       await jest.advanceTimersByTimeAsync(4_000);
       expect(servers.map(({ starts }) => starts.length)).toEqual([1, 0]);
       expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
