--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -29,6 +29,9 @@
  */
 const CANCEL_TIMEOUT_MS = 1_000;
 
+/** Reason for not taking a job whose caller closed the connection before the request was read. */
+const CALLER_GONE = 'caller gone before';
+
 interface EntryJobsOptions {
   readonly clock: Clock;
   readonly log: Logger;
@@ -203,6 +206,11 @@
     });
   }
 
+  recordCallerGone({ id, queue }: JobSpec): void {
+    this.options.metrics.recordJob(queue.name, CALLER_GONE, 0);
+    this.options.log.info({ job: id, queue: queue.name, reason: CALLER_GONE }, 'job not taken');
+  }
+
   async cancelJob(id: JobId): Promise<boolean> {
     const leaders = [...this.leaders];
     if (leaders.length === 0) {
