Pool leader: names the jobs that have runs on a server whose store entry is gone

Callers could see two runs at once: a server that is cut off from the store, but not from its leader, loses its entry while runs go on. A next leader that has dropped the server, or has just started, does not know it, takes its own list for complete and starts the tasks again.

Change: the leader tells the entry instances which jobs have runs there; they mark the jobs as possibly running on unknown servers, so that the next leader waits until earlier leases must have expired.

Evidence: pool-leader.test.ts, 'tells which jobs have runs ...', and entry-jobs.test.ts, 'tells it the same of a job with a run ...': the report did not exist before.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -134,6 +134,12 @@
         // The leader ends the jobs of the tasks that this confirms.
         this.crashes.resolveServer(serverId, startedAtMs);
       },
+      reportHiddenRun: (id) => {
+        const job = this.jobs.get(id);
+        if (job !== undefined) {
+          job.mayRunOnUnknownServers = true;
+        }
+      },
       answerCancel: (id, isKnown) => this.answerCancel(part, id, isKnown),
       reportPending: (pending) => {
         this.pendingByQueue = pending;
--- a/packages/instance/src/entry/open-job.ts
+++ b/packages/instance/src/entry/open-job.ts
@@ -26,7 +26,7 @@
   isMoved: boolean;
   /**
    * True if runs of the job may be on servers that the next leader does not know: the last leader led
-   * a failure domain that was cut off, or another part.
+   * a failure domain that was cut off, or another part, or used a server whose store entry is gone.
    */
   mayRunOnUnknownServers: boolean;
   /** When the last leader that has the job was lost, in monotonic milliseconds. */
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -17,6 +17,8 @@
   reportCrash(record: CrashRecord): void;
   /** The life of a server that began at this time has answered; undefined if the earlier life has ended. */
   reportLife(serverId: ServerId, startedAtMs: number | undefined): void;
+  /** A run of the job is on a server whose store entry is gone, so another leader may not know the server. */
+  reportHiddenRun(id: JobId): void;
   answerCancel(id: JobId, isKnown: boolean): void;
   /** Reports, by queue, the number of jobs of which no task has started. */
   reportPending(pending: ReadonlyMap<string, number>): void;
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -247,6 +247,7 @@
     batch.lives.forEach(({ server, startedAtMs }) =>
       this.entry.reportLife(server as ServerId, startedAtMs),
     );
+    batch.hiddenJobs.forEach((id) => this.entry.reportHiddenRun(id as JobId));
     batch.ended.forEach((ended) => this.entry.endJob(ended.id as JobId, decodeOutcome(ended)));
     batch.cancelAnswers.forEach(({ id, isKnown }) => this.entry.answerCancel(id as JobId, isKnown));
     const pending = Object.entries(batch.pending);
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -119,6 +119,12 @@
     });
   }
 
+  reportHiddenRun(id: JobId): void {
+    this.batches.addToBatch((batch) => {
+      batch.hiddenJobs.push(id);
+    });
+  }
+
   answerCancel(id: JobId, isKnown: boolean): void {
     this.batches.addToBatch((batch) => {
       batch.cancelAnswers.push(create(CancelAnswerSchema, { id, isKnown }));
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -1,7 +1,9 @@
 import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
 import type { EngineEffect } from '@guavaspindle/kernel/engine/engine-effect';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
+import type { EngineServer } from '@guavaspindle/kernel/engine/engine-server';
 import { JobEngine } from '@guavaspindle/kernel/engine/job-engine';
+import { parseJobIdOfTask } from '@guavaspindle/kernel/engine/parse-job-id-of-task';
 import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
@@ -166,6 +168,7 @@
       }
       this.relocations.delete(id);
       server.report = { ...server.report, isDraining: true };
+      this.reportHiddenRuns(server);
       this.deregisteredServers.set(id, nowMs);
       this.sessions.get(id)?.requestConfirmation();
     }
@@ -462,6 +465,16 @@
     this.engine.takeEffects().forEach((effect) => this.applyEffect(effect));
   }
 
+  /** Tells the owners of the jobs on a server that the next leader may not know the server. */
+  private reportHiddenRuns(server: EngineServer): void {
+    server.runs.forEach(({ task }) => {
+      const owner = this.engine.findOwner(task);
+      if (owner !== undefined) {
+        this.entries.get(owner)?.reportHiddenRun(parseJobIdOfTask(task));
+      }
+    });
+  }
+
   private reportCrash(record: CrashRecord, owner: InstanceName | undefined): void {
     if (owner === undefined) {
       this.options.log.warn(record, 'server crashed or fell silent under a task');
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -122,6 +122,7 @@
     reportLoad() {},
     reportCrash() {},
     reportLife() {},
+    reportHiddenRun() {},
     answerCancel() {},
     reportPending() {},
     reportLeaving() {},
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -134,6 +134,19 @@
     expect(second.submissions[0]).toMatchObject({ isResumed: true, mayRunOnUnknownServers: true });
   });
 
+  // Guards against a start while a run goes on at a server that the next leader does not know.
+  it('tells it the same of a job with a run on a server whose store entry is gone', () => {
+    const entry = buildEntry();
+    entry.setLeader(ALL, buildLeader());
+    const { spec } = buildJobSubmission();
+    void entry.runJob(spec, 20_000, NEVER);
+    entry.buildPort(ALL).reportHiddenRun(spec.id);
+    entry.setLeader(ALL, undefined);
+    const second = buildLeader();
+    entry.setLeader(ALL, second);
+    expect(second.submissions[0]).toMatchObject({ isResumed: true, mayRunOnUnknownServers: true });
+  });
+
   it('tells it the same after a store failure, as the lost leader may have been cut off too', () => {
     const entry = buildEntry(true);
     entry.setLeader(ALL, buildLeader());
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -278,6 +278,24 @@
     pool.close();
   });
 
+  // Guards against a second run of a task by a next leader that does not know the server of the first one.
+  it('tells which jobs have runs on a server whose store entry is gone', async () => {
+    const servers = [new FakeServer(), new FakeServer()];
+    servers.forEach((server) => {
+      server.runBehavior = { durationMs: 5_000, how: 'done' };
+    });
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    const jobs = [1, 2].map((number) => buildJobSubmission({ number, cpuMilli: 60_000 }));
+    jobs.forEach((job) => pool.submitJob(job));
+    await jest.advanceTimersByTimeAsync(50);
+    const hidden = [...servers[0]!.running.keys()].map((task) => task.split('.')[0]);
+    pool.dropServer('0' as ServerId);
+    expect(hidden).toHaveLength(1);
+    expect(entry.hidden).toEqual(hidden);
+    pool.close();
+  });
+
   it('extends no lease of runs whose jobs are not submitted: their leader relies on the expiry', async () => {
     const server = new FakeServer();
     server.runBehavior = { durationMs: 5_000, how: 'done' };
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -121,6 +121,11 @@
     return this.jobs.size;
   }
 
+  /** Finds the instance that waits for the job of a task. */
+  findOwner(task: TaskId): InstanceName | undefined {
+    return this.jobs.get(parseJobIdOfTask(task))?.owner;
+  }
+
   /** Returns the effects since the last call and clears them. */
   takeEffects(): EngineEffect[] {
     const taken = this.effects;
