Engine: a start that did not reach its server counts as no crash under its task

Cause: when a server falls silent, its runs are recorded as suspects, also one whose start is under way. The refusal of that start ended the run, but not the record; the server's next life confirmed it. Two starts refused by crashed servers failed the job. Change: a run whose start is not answered yet is recorded only once that stays unanswered; likewise when another life answers. Failed ends are logged.

Evidence: crashing-tasks.test.ts, 'counts no start that did not reach its server', failed before (four records) and passes now. The soak's callers now leave after 1.5 s and send their jobs elsewhere.

--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -304,6 +304,12 @@
     state.ended.forEach(({ sequence, task, run, outcome }) => {
       if (sequence > this.acknowledgedSequence) {
         this.recordEnd(task, run);
+        if (outcome === 'failed') {
+          this.log.info(
+            { server: id, startedAtMs: state.serverStartedAtMs, task, run },
+            'run failed',
+          );
+        }
         this.engine.endRun(id, task, run, outcome, nowMs);
         this.acknowledgedSequence = sequence;
         this.hasUnacknowledgedEnds = true;
@@ -351,7 +357,8 @@
   }
 
   private handleOtherLife(): void {
-    const runs = [...this.server.runs.values()];
+    // The answer to a start that is under way tells whether its run has begun.
+    const runs = [...this.server.runs.values()].filter(({ state }) => state !== 'starting');
     this.endRuns(runs, 'another incarnation of the server answered', 'crashed');
     this.engine.resolveServer(this.server.report.id, undefined, this.clock.now());
     this.options.onChange();
--- a/packages/instance/tests/crashing-tasks.test.ts
+++ b/packages/instance/tests/crashing-tasks.test.ts
@@ -85,6 +85,24 @@
     pool.close();
   });
 
+  // Guards against a job that is shown as failed although nothing of it had begun on the crashed servers.
+  it('counts no start that did not reach its server', async () => {
+    const servers = buildServers(4);
+    const { pool, entry } = buildPool(servers);
+    await jest.advanceTimersByTimeAsync(20);
+    servers.slice(0, 3).forEach((server) => {
+      server.restart(2_000);
+      server.isRefusing = true;
+    });
+    servers[3]!.runBehavior = { durationMs: 5_000, how: 'done' };
+    pool.submitJob(buildJobSubmission({ number: 2, taskCount: 2 }));
+    pool.submitJob(JOB);
+    await jest.advanceTimersByTimeAsync(4_000);
+    expect(entry.crashes).toEqual([]);
+    expect(entry.outcomes.get(JOB.spec.id)).toEqual({ kind: 'completed' });
+    pool.close();
+  });
+
   // Guards against network partitions that count as crashes.
   it('completes a job whose servers were cut off one after the other', async () => {
     const servers = buildServers(3);
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -236,9 +236,14 @@
 
   /** Handles a start order that got no answer: stops the run before the task may start again. */
   handleUnansweredStart(serverId: ServerId, task: TaskId, run: number, nowMs: number): void {
+    const server = this.fleet.findServer(serverId);
     const known = this.findRun(serverId, task, run);
-    if (known !== undefined) {
-      this.fleet.findServer(serverId)?.recordFailure(nowMs);
+    if (server !== undefined && known !== undefined) {
+      server.recordFailure(nowMs);
+      if (server.state === 'unconfirmed') {
+        // The silence was recorded while it was open whether the run would begin.
+        this.recordUnconfirmedCrash(server, task, nowMs);
+      }
       this.stopRun(known, 'no-answer');
     }
   }
@@ -291,14 +296,14 @@
 
   /**
    * Records that a server has left a call unanswered. The instances that own the jobs of its runs are
-   * told, as this leader may end before it is known whether the server has crashed.
+   * told, as this leader may end before it is known whether the server has crashed. A run whose start is
+   * not answered yet counts only if that stays unanswered: the server may have been gone before.
    */
   recordSilence(serverId: ServerId, nowMs: number): void {
     const server = this.fleet.findServer(serverId);
-    server?.runs.forEach(({ task }) => {
-      const owner = this.jobs.get(parseJobIdOfTask(task))?.owner;
-      if (owner !== undefined) {
-        this.recordCrash(server, task, false, nowMs, owner);
+    server?.runs.forEach(({ task, state }) => {
+      if (state !== 'starting') {
+        this.recordUnconfirmedCrash(server, task, nowMs);
       }
     });
   }
@@ -587,6 +592,14 @@
     }
   }
 
+  /** Records that a server fell silent under a task, and tells the owner of its job if there is one. */
+  private recordUnconfirmedCrash(server: EngineServer, task: TaskId, nowMs: number): void {
+    const owner = this.findOwner(task);
+    if (owner !== undefined) {
+      this.recordCrash(server, task, false, nowMs, owner);
+    }
+  }
+
   /** Records that a server crashed or fell silent under a task, unless it was about to leave anyway. */
   private recordCrash(
     server: EngineServer,
--- a/packages/soak/src/checks/soak-callers.ts
+++ b/packages/soak/src/checks/soak-callers.ts
@@ -15,6 +15,8 @@
 /** A job without an answer is sent again after so long, as the platform's clients do. */
 const RESEND_MS = 1_300;
 const DEADLINE_MS = 5_000;
+/** A caller waits this long for one answer; then it closes the connection and sends the job elsewhere. */
+const TRY_MS = 1_500;
 
 /** Callers that send jobs at a steady mean rate, and again after a broken answer. */
 export class SoakCallers {
@@ -76,7 +78,8 @@
     while (performance.now() < deadlineMs) {
       const settle = this.book.openTry(id);
       const leftMs = Math.max(1, Math.round(deadlineMs - performance.now()));
-      const outcome = await this.caller.sendJob(this.addresses[target]!, job, leftMs);
+      const waitMs = Math.min(TRY_MS, leftMs);
+      const outcome = await this.caller.sendJob(this.addresses[target]!, job, waitMs);
       settle(outcome);
       if (outcome === 'completed') {
         this.served.add(number);
