Pool leader: an overloaded leader starts tasks although each pass comes late

Change: not at two passes in a row.

Evidence: pool-leader.test.ts, 'starts tasks although each pass comes as late as after a pause', failed before (0 starts) and passes now.

--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -77,6 +77,9 @@
   /** When the event loop last ran a tick or a pass, in monotonic milliseconds. */
   private awakeAtMs: number;
 
+  /** Whether the last pass came after a pause of this process. */
+  private wasPaused = false;
+
   private fencingToken: number;
 
   private ticker: NodeJS.Timeout | undefined;
@@ -380,12 +383,14 @@
 
   /**
    * Asks all entry instances for a proof after a pause of this process, in which they may have given up
-   * their links and answered their callers: what they sent before it is read only now.
+   * their links and answered their callers: what they sent before it is read only now. Not again at the
+   * next pass: on an overloaded processor each may come that late, and tasks have to start all the same.
    */
   private checkPause(nowMs: number): void {
     const pausedMs = nowMs - this.awakeAtMs;
     this.awakeAtMs = nowMs;
-    if (pausedMs > linkTiming.startSuspensionMs) {
+    this.wasPaused = pausedMs > linkTiming.startSuspensionMs && !this.wasPaused;
+    if (this.wasPaused) {
       this.options.log.warn(
         { part: this.options.part.id, pausedMs: Math.round(pausedMs) },
         'this process was paused; starting nothing for entry instances until they answer',
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -472,6 +472,23 @@
     pool.close();
   });
 
+  // Guards against a leader that starts nothing any more because its processor is overloaded.
+  it('starts tasks although each pass comes as late as after a pause', async () => {
+    const server = new FakeServer();
+    const times = { pausedMs: 0 };
+    const clock = { ...systemClock, now: () => systemClock.now() + times.pausedMs };
+    const { pool, entry } = buildPool([server], { clock });
+    await jest.advanceTimersByTimeAsync(20);
+    pool.submitJob(buildJobSubmission());
+    for (let pass = 0; pass < 4; pass += 1) {
+      times.pausedMs += 500;
+      await jest.advanceTimersByTimeAsync(25);
+      entry.isQuiet = false;
+    }
+    expect(server.starts).toHaveLength(1);
+    pool.close();
+  });
+
   it('starts nothing and extends nothing once a server has seen a higher token', async () => {
     const server = new FakeServer();
     const { pool, countFenced } = buildPool([server]);
