Entry jobs: the mark of runs on unknown servers lasts until these runs must have expired

The fleet was divided while the job ran; its next leader, told that runs may be on servers that it does not know, was replaced 240 ms later, and the leader after it was not told.

Cause: the entry instance cleared the mark with the first submission. Change: it keeps the mark for as long as runs of the earlier leader may live (2.1 s from its loss).

Evidence: entry-jobs.test.ts, 'tells also the leader after the next one, while the runs may be alive', failed before and passes now.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -331,6 +331,7 @@
       hadEarlierLeader: false,
       isMoved: false,
       mayRunOnUnknownServers: false,
+      unknownRunsExpireAtMs: 0,
       leaderLostAtMs: undefined,
     };
     this.jobs.set(spec.id, job);
@@ -372,15 +373,25 @@
     const nowMs = this.options.clock.now();
     const lostForMs = nowMs - (job.leaderLostAtMs ?? nowMs);
     const isResumed = job.hadEarlierLeader;
+    const priorRunsExpireInMs = isResumed
+      ? Math.max(0, linkTiming.priorRunLifetimeMs - lostForMs)
+      : 0;
+    // A leader that was cut off along with this instance may have used servers whose entries expired.
+    const mayRunOnUnknownServers =
+      job.mayRunOnUnknownServers ||
+      nowMs < job.unknownRunsExpireAtMs ||
+      this.options.hasRecentStoreFailure();
+    if (mayRunOnUnknownServers) {
+      job.unknownRunsExpireAtMs = Math.max(job.unknownRunsExpireAtMs, nowMs + priorRunsExpireInMs);
+    }
     job.part = part;
     leader.submitJob({
       spec: job.spec,
       ageMs: nowMs - job.arrivedAtMs,
       doneTasks: job.doneTasks,
       isResumed,
-      priorRunsExpireInMs: isResumed ? Math.max(0, linkTiming.priorRunLifetimeMs - lostForMs) : 0,
-      // A leader that was cut off along with this instance may have used servers whose entries expired.
-      mayRunOnUnknownServers: job.mayRunOnUnknownServers || this.options.hasRecentStoreFailure(),
+      priorRunsExpireInMs,
+      mayRunOnUnknownServers,
       isMoved: job.isMoved,
       crashes: this.crashes.listRecords(job.spec.id),
     });
--- a/packages/instance/src/entry/open-job.ts
+++ b/packages/instance/src/entry/open-job.ts
@@ -29,6 +29,11 @@
    * a failure domain that was cut off, or another part, or used a server whose store entry is gone.
    */
   mayRunOnUnknownServers: boolean;
+  /**
+   * Until when such runs of earlier leaders may stay alive, in monotonic milliseconds: a leader that has
+   * taken the job since may be lost as well before they must have ended.
+   */
+  unknownRunsExpireAtMs: number;
   /** When the last leader that has the job was lost, in monotonic milliseconds. */
   leaderLostAtMs: number | undefined;
 }
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -147,6 +147,26 @@
     expect(second.submissions[0]).toMatchObject({ isResumed: true, mayRunOnUnknownServers: true });
   });
 
+  // Guards against a start beside a run on another part's server: a division and, soon after, another leader.
+  it.each([
+    ['also the leader after the next one, while the runs may be alive', 300, true],
+    ['not a leader that takes over after they must have ended', 2_200, false],
+  ])('tells %s', async (_name, afterMs, mayRunOnUnknownServers) => {
+    const entry = buildEntry();
+    entry.setLeader(ALL, buildLeader());
+    void entry.runJob(buildJobSubmission().spec, 20_000, NEVER);
+    const parts = listParts(new Map([['domain-1' as DomainName, [1]]]));
+    entry.setParts(parts);
+    entry.setLeader(ALL, undefined);
+    const [first, second] = [buildLeader(), buildLeader()];
+    entry.setLeader(parts[0]!.id, first);
+    expect(first.submissions[0]).toMatchObject({ mayRunOnUnknownServers: true });
+    await jest.advanceTimersByTimeAsync(afterMs);
+    entry.setLeader(parts[0]!.id, undefined);
+    entry.setLeader(parts[0]!.id, second);
+    expect(second.submissions[0]).toMatchObject({ isResumed: true, mayRunOnUnknownServers });
+  });
+
   it('tells it the same after a store failure, as the lost leader may have been cut off too', () => {
     const entry = buildEntry(true);
     entry.setLeader(ALL, buildLeader());
