--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -36,6 +36,7 @@
 import { InstanceRegistry } from './registry/instance-registry';
 import { ConfigurationHolder } from './store/configuration-holder';
 import { EvacuationHolder } from './store/evacuation-holder';
+import { FleetMemory } from './store/fleet-memory';
 import { FleetMirror } from './store/fleet-mirror';
 import type { MirrorListener } from './store/mirror-listener';
 import { mirrorTiming } from './store/mirror-timing';
@@ -99,6 +100,8 @@
   const configuration = new ConfigurationHolder(log);
   const evacuations = new EvacuationHolder(clock, log);
   const fleet = new FleetMirror(clock, log);
+  const servers = new FleetMemory(clock);
+  fleet.addListener(servers);
   const offers = new PartOffers();
   const racks = new RackMap();
   const { remoteFactor = 1 } = settings;
@@ -119,6 +122,7 @@
     onLeaderLeaving: (part, successor) => elections.recordLeaderLeaving(part, successor),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
     onPartNeeded: (part) => elections.requestPart(part),
+    onServersSettled: (ids) => servers.settleServers(ids),
     onLoad: (part, load) => offers.recordLoad(part, load, clock.now()),
   });
   const registry = new InstanceRegistry(self, store, log, () => {
@@ -195,6 +199,7 @@
         self,
         registry,
         entry: entryJobs,
+        servers,
         clock,
         log,
         isNeeded: () => elections.isPartNeeded(part.id),
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -9,6 +9,7 @@
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
+import type { ServerId } from '@guavaspindle/kernel/ids/server-id';
 import { chooseHomePart } from '@guavaspindle/kernel/layout/choose-home-part';
 import { chooseOpenPart } from '@guavaspindle/kernel/layout/choose-open-part';
 import type { PartLoad } from '@guavaspindle/kernel/layout/part-load';
@@ -60,6 +61,8 @@
   onLeaderLeaving(part: PartId, successor: InstanceName | undefined): void;
   /** Called when a job needs a link to a part that has none; `setLeader` follows once it is open. */
   onPartNeeded(part: PartId): void;
+  /** Called when a leader uses servers that have no entry in the store no more. */
+  onServersSettled?(ids: readonly ServerId[]): void;
   /** Called when the leader of a part reports its load. */
   onLoad(part: PartId, load: PartLoad): void;
 }
@@ -199,6 +202,7 @@
           job.mayRunOnUnknownServers = true;
         }
       },
+      reportSettledServers: (ids) => this.options.onServersSettled?.(ids),
       answerCancel: (id, isKnown, isForwarded) => {
         this.callerCancels.recordAnswer(part, id, isKnown, isForwarded);
         this.cancelForwards.recordAnswer(part, id, isKnown);
@@ -229,6 +233,15 @@
     return [...this.jobs.values()].some((job) => job.part === part);
   }
 
+  /** Records that runs of the open jobs at a part may be on servers that the next leader does not know. */
+  recordHiddenRuns(part: PartId): void {
+    this.jobs.forEach((job) => {
+      if (job.part === part) {
+        job.mayRunOnUnknownServers = true;
+      }
+    });
+  }
+
   /** Refuses all new jobs from now on; open jobs continue. */
   refuseNewJobs(): void {
     this.isRefusing = true;
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -1,6 +1,7 @@
 /* eslint-disable no-await-in-loop -- the steps run one at a time */
 import type Logger from 'bunyan';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
+import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
@@ -19,8 +20,10 @@
 import type { RegisteredInstance } from '../registry/registered-instance';
 import type { LeadershipClaim } from '../registry/leadership-claim';
 import type { InstanceRegistry } from '../registry/instance-registry';
+import type { FleetMemory } from '../store/fleet-memory';
 import { electionTiming } from './election-timing';
 import { LeaderChangeHistory } from './leader-change-history';
+import { PartServers } from './part-servers';
 
 /** Reason for closing a link that no job needs any more. */
 const NOT_NEEDED = 'not needed';
@@ -31,6 +34,8 @@
   readonly self: RegisteredInstance;
   readonly registry: InstanceRegistry;
   readonly entry: EntryJobs;
+  /** The servers that leaders may have runs on. */
+  readonly servers: FleetMemory;
   readonly clock: Clock;
   readonly log: Logger;
   /** Returns whether a link is needed to the leader of a part that this instance may not lead. */
@@ -88,6 +93,8 @@
 
   private readonly changes = new LeaderChangeHistory();
 
+  private readonly servers: PartServers;
+
   private scope: 'all' | 'domain' = 'all';
 
   private link: LeaderLink | undefined;
@@ -115,7 +122,9 @@
 
   private isClosed = false;
 
-  constructor(private readonly options: LeaderElectionOptions) {}
+  constructor(private readonly options: LeaderElectionOptions) {
+    this.servers = new PartServers(options.part, options.servers, options.entry);
+  }
 
   /** Whether this instance leads the part now. */
   get isLeading(): boolean {
@@ -193,6 +202,14 @@
     this.pool?.dropEntry(name, port);
   }
 
+  listServers(): readonly ServerReport[] {
+    return this.pool?.listServers() ?? [];
+  }
+
+  adoptUnlistedServers(servers: readonly ServerReport[]): void {
+    this.pool?.adoptUnlistedServers(servers);
+  }
+
   submitJob(submission: EngineSubmission): void {
     this.pool?.submitJob(submission);
   }
@@ -578,6 +595,9 @@
     this.link?.close('this instance leads');
     const port = entry.buildPort(part.id);
     pool.addEntry(self.name, port);
+    if (scope === 'all') {
+      pool.adoptUnlistedServers(this.servers.exchangeServers(pool.listServers()));
+    }
     entry.setLeader(part.id, {
       isDomainOnly: scope === 'domain',
       submitJob: (submission) =>
@@ -654,6 +674,7 @@
         isIdle: !entry.hasJobsAt(part.id),
         isReportNeeded: this.options.isReportNeeded(),
       }),
+      this.servers,
       (reason) => this.handleLinkClosed(link, reason),
     );
     const opened = await link.open();
--- a/packages/instance/src/lead/part-elections.ts
+++ b/packages/instance/src/lead/part-elections.ts
@@ -1,4 +1,5 @@
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
+import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
@@ -159,6 +160,14 @@
     return this.elections.get(part)?.openEntry(name, port, listsJobs);
   }
 
+  listServers(part: PartId): readonly ServerReport[] {
+    return this.elections.get(part)?.listServers() ?? [];
+  }
+
+  adoptUnlistedServers(part: PartId, servers: readonly ServerReport[]): void {
+    this.elections.get(part)?.adoptUnlistedServers(servers);
+  }
+
   closeEntry(part: PartId, name: InstanceName, port: EntryPort): void {
     this.elections.get(part)?.closeEntry(name, port);
   }
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -19,6 +19,11 @@
   reportLife(serverId: ServerId, startedAtMs: number | undefined): void;
   /** A run of the job is on a server whose store entry is gone, so another leader may not know the server. */
   reportHiddenRun(id: JobId): void;
+  /**
+   * The leader uses these servers, which have no entry in the store, no more. The owners of the jobs with runs there
+   * have been told.
+   */
+  reportSettledServers(ids: readonly ServerId[]): void;
   /**
    * Confirms a cancellation: no leader that can still act may start the job; if the cancellation was
    * forwarded, the leader of this part may not.
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -17,6 +17,7 @@
   JobCancelSchema,
   type EntryBatch,
   type LeaderBatch,
+  type LeaderHello,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import type { CancelHints } from '../cancels/cancel-hints';
 import type { RegisteredInstance } from '../registry/registered-instance';
@@ -24,7 +25,9 @@
 import type { ClosedDomains } from './closed-domains';
 import { decodeCrash } from './decode-crash';
 import { decodeOutcome } from './decode-outcome';
+import { decodeServer } from './decode-server';
 import { encodeJob } from './encode-job';
+import { encodeServer } from './encode-server';
 import type { EntryPort } from './entry-port';
 import type { LeaderPort } from './leader-port';
 import { isConnectionRefused } from './is-connection-refused';
@@ -33,6 +36,7 @@
 import { linkTiming } from './link-timing';
 import { encodePingFlags } from './encode-ping-flags';
 import type { PingFlags } from './ping-flags';
+import type { ServerExchange } from './server-exchange';
 
 /** The link from this entry instance to the remote leader of a part. */
 export class LeaderLink implements LeaderPort {
@@ -57,6 +61,7 @@
   /**
    * @param silenceTimeoutMs - the link is closed after this time without an answer to a ping
    * @param readFlags - returns what the next ping has to tell the leader
+   * @param servers - the servers that this instance knows
    * @param onClosed - called once when the link is closed, for whatever reason
    */
   constructor(
@@ -67,6 +72,7 @@
     private readonly entry: EntryPort,
     silenceTimeoutMs: number,
     private readonly readFlags: () => PingFlags,
+    private readonly servers: ServerExchange,
     private readonly onClosed: (reason: string) => void,
   ) {
     this.session = new LinkSession(`http://${leader.address}`);
@@ -118,6 +124,7 @@
         leaderIncarnation: this.leader.incarnation,
         part: this.part,
         listsJobs: true,
+        serverDigest: this.servers.computeDigest(),
       });
     });
     const replies = client.openLink(this.batches)[Symbol.asyncIterator]();
@@ -137,6 +144,7 @@
     }
     this.leadsDomainOnly = first.value.hello.isDomainOnly;
     this.isPingRead = first.value.hello.readsPings;
+    this.exchangeServers(first.value.hello);
     this.schedulePing();
     void this.handleReplies(replies);
     return 'up';
@@ -191,6 +199,17 @@
     this.onClosed(reason);
   }
 
+  /** Passes on, before the jobs, which servers earlier leaders may have runs on. */
+  private exchangeServers({ isDomainOnly, knowsSameServers, servers }: LeaderHello): void {
+    if (isDomainOnly || knowsSameServers) {
+      return;
+    }
+    const unknown = this.servers.exchangeServers(servers.map(decodeServer));
+    if (unknown.length > 0) {
+      this.batches.addToBatch((batch) => batch.servers.push(...unknown.map(encodeServer)));
+    }
+  }
+
   private schedulePing(): void {
     clearTimeout(this.pingTimer);
     if (this.isClosed) {
@@ -265,6 +284,9 @@
       this.entry.reportLife(server as ServerId, startedAtMs),
     );
     batch.hiddenJobs.forEach((id) => this.entry.reportHiddenRun(id as JobId));
+    if (batch.settledServers.length > 0) {
+      this.entry.reportSettledServers(batch.settledServers as ServerId[]);
+    }
     if (batch.unstartedJobs.length > 0) {
       this.entry.reportUnstarted(batch.unstartedJobs as JobId[]);
     }
--- a/packages/instance/src/links/link-host.ts
+++ b/packages/instance/src/links/link-host.ts
@@ -1,4 +1,5 @@
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
+import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
@@ -21,6 +22,10 @@
     port: EntryPort,
     listsJobs: boolean,
   ): 'all' | 'domain' | undefined;
+  /** Lists the servers that the leader of a part may have runs on; empty if it leads only its own domain. */
+  listServers(part: PartId): readonly ServerReport[];
+  /** An entry instance knows servers that earlier leaders of the part may have used. */
+  adoptUnlistedServers(part: PartId, servers: readonly ServerReport[]): void;
   closeEntry(part: PartId, name: InstanceName, port: EntryPort): void;
   submitJob(part: PartId, submission: EngineSubmission): void;
   /** An entry instance has submitted all its open jobs since its link was opened; others are dropped. */
--- a/packages/instance/src/links/link-service.ts
+++ b/packages/instance/src/links/link-service.ts
@@ -20,7 +20,10 @@
 import { sessionKey } from '@guavaspindle/runtime/control/session-key';
 import { runIsolated } from '../process/run-isolated';
 import type { ClosedDomains } from './closed-domains';
+import { computeServerDigest } from './compute-server-digest';
 import { decodeJob } from './decode-job';
+import { decodeServer } from './decode-server';
+import { encodeServer } from './encode-server';
 import type { LinkHost } from './link-host';
 import { linkTiming } from './link-timing';
 import { decodePingFlags } from './decode-ping-flags';
@@ -87,11 +90,15 @@
     const entry = new RemoteEntry(this.clock, session && buildPingSender(session));
     const scope =
       name === '' ? undefined : this.host.openEntry(part, name, entry, hello?.listsJobs === true);
+    const servers = scope === 'all' ? this.host.listServers(part) : [];
+    const knowsSameServers = hello?.serverDigest === computeServerDigest(servers);
     const answer = create(LeaderBatchSchema, {
       hello: {
         isLeader: scope !== undefined,
         isDomainOnly: scope === 'domain',
         readsPings: session !== undefined,
+        servers: knowsSameServers ? [] : servers.map(encodeServer),
+        knowsSameServers,
       },
     });
     if (scope === undefined) {
@@ -196,6 +203,9 @@
         }),
       );
     }
+    if (batch.servers.length > 0) {
+      this.host.adoptUnlistedServers(part, batch.servers.map(decodeServer));
+    }
     if (batch.cancelledJobs.length > 0) {
       this.host.recordCancels(part, batch.cancelledJobs as JobId[]);
     }
--- a/packages/instance/src/links/remote-entry.ts
+++ b/packages/instance/src/links/remote-entry.ts
@@ -125,6 +125,12 @@
     });
   }
 
+  reportSettledServers(ids: readonly ServerId[]): void {
+    this.batches.addToBatch((batch) => {
+      batch.settledServers.push(...ids);
+    });
+  }
+
   answerCancel(id: JobId, isKnown: boolean, isForwarded: boolean): void {
     this.batches.addToBatch((batch) => {
       batch.cancelAnswers.push(create(CancelAnswerSchema, { id, isKnown, isForwarded }));
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -3,10 +3,8 @@
 import type { CrashRecord } from '@guavaspindle/kernel/engine/crash-record';
 import type { EngineEffect } from '@guavaspindle/kernel/engine/engine-effect';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
-import type { EngineServer } from '@guavaspindle/kernel/engine/engine-server';
 import { JobEngine } from '@guavaspindle/kernel/engine/job-engine';
 import { StartGate } from '@guavaspindle/kernel/engine/start-gate';
-import { parseJobIdOfTask } from '@guavaspindle/kernel/engine/parse-job-id-of-task';
 import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
@@ -22,8 +20,9 @@
 import type { EvacuationListener } from '../store/evacuation-listener';
 import type { FleetListener } from '../store/fleet-listener';
 import { ProcessLoadMeter } from '../process/process-load-meter';
-import type { PoolOptions } from './pool-options';
+import { DepartedServers } from './departed-servers';
 import { FleetKnowledge } from './fleet-knowledge';
+import type { PoolOptions } from './pool-options';
 import { ServerSession } from './server-session';
 
 /**
@@ -33,12 +32,6 @@
 const UNCLAIMED_RUN_GRACE_MS = 400;
 /** An entry instance that has lost its link may reconnect for this long; then its jobs are dropped. */
 const RECONNECT_GRACE_MS = 300;
-/**
- * How long the leader keeps polling a server whose store entry has been deleted: an earlier leader in
- * the same network partition may still use that server. After a longer partition, the entry instances
- * inside it report that runs may be on unknown servers.
- */
-const DEREGISTERED_SERVER_RETENTION_MS = 60_000;
 /**
  * Interval of the extra scheduling passes. They are needed because no event signals that the block of
  * a task or the pause of a server has ended.
@@ -60,8 +53,7 @@
 
   private readonly sessions = new Map<ServerId, ServerSession>();
 
-  /** When the store entry of each deregistered server was found deleted, in monotonic milliseconds. */
-  private readonly deregisteredServers = new Map<ServerId, number>();
+  private readonly departed: DepartedServers;
 
   /**
    * Servers whose entries name another address or service than before, with their new reports. Their runs
@@ -147,6 +139,19 @@
       options.domain === undefined,
       remoteFactor === undefined ? undefined : { remoteFactor },
     );
+    this.departed = new DepartedServers({
+      clock: options.clock,
+      entries: this.entries,
+      findServer: (id) => this.engine.fleet.findServer(id),
+      findSession: (id) => this.sessions.get(id),
+      findOwner: (task) => this.engine.findOwner(task),
+      registerServer: (report) => this.registerServer(report),
+      closeSession: (id) => {
+        this.closeSession(id);
+        // The others may be all that jobs have waited for.
+        this.checkWholePool();
+      },
+    });
     this.knowledge =
       options.domain === undefined
         ? new FleetKnowledge(options.fencingToken, {
@@ -183,12 +188,11 @@
     const known = this.engine.fleet.findServer(report.id);
     if (!isServerInPart(part, report) || (domain !== undefined && report.domain !== domain)) {
       this.knowledge?.dropServer(report.id);
-      if (known !== undefined && !this.deregisteredServers.has(report.id)) {
+      if (known !== undefined && !this.departed.hasServer(report.id)) {
         this.dropServer(report.id);
       }
       return;
     }
-    this.deregisteredServers.delete(report.id);
     this.relocations.delete(report.id);
     const isElsewhere =
       known !== undefined &&
@@ -203,13 +207,15 @@
         },
         'server entry names another address or service',
       );
+      this.departed.deleteServer(report.id);
       known.report = { ...known.report, isDraining: true };
       this.relocations.set(report.id, report);
       this.sessions.get(report.id)?.requestConfirmation();
       this.checkRelocation(report.id);
       return;
     }
-    if (known !== undefined || this.knowledge?.admitServer(report, registeredRevision) !== false) {
+    const isUsed = known !== undefined && !this.departed.hasServer(report.id);
+    if (isUsed || this.knowledge?.admitServer(report, registeredRevision) !== false) {
       this.registerServer(report);
     }
   }
@@ -219,19 +225,33 @@
     this.knowledge?.dropServer(id);
     const server = this.engine.fleet.findServer(id);
     if (server !== undefined) {
-      const nowMs = this.options.clock.now();
       if (!server.report.isDraining) {
         // A crashed server may come back under another id; one that was only cut off clears this itself.
-        this.engine.resolveServer(id, undefined, nowMs);
+        this.engine.resolveServer(id, undefined, this.options.clock.now());
       }
       this.relocations.delete(id);
       server.report = { ...server.report, isDraining: true };
-      this.reportHiddenRuns(server);
-      this.deregisteredServers.set(id, nowMs);
+      this.departed.addServer(server);
       this.sessions.get(id)?.requestConfirmation();
     }
   }
 
+  /** Lists the servers that may have runs, without those that the entry instances may forget. */
+  listServers(): readonly ServerReport[] {
+    return this.departed.listUnsettled(this.engine.fleet.listServers());
+  }
+
+  /**
+   * Polls the servers without an entry that earlier leaders may have used. Jobs that are submitted again wait until
+   * these have answered as well.
+   */
+  adoptUnlistedServers(reports: readonly ServerReport[]): void {
+    const { part, domain } = this.options;
+    if (domain === undefined) {
+      this.departed.adoptUnlistedServers(reports.filter((report) => isServerInPart(part, report)));
+    }
+  }
+
   setClosedDomains({ domains }: ClosedDomains): void {
     this.closedDomains = domains;
     this.engine.setClosedDomains(domains);
@@ -290,6 +310,7 @@
       this.areConfirmationsDue = true;
     }
     this.engine.submitJob(submission, this.options.clock.now());
+    this.departed.reportJob(submission.spec.id, submission.owner);
     this.requestSchedulingPass();
   }
 
@@ -426,6 +447,7 @@
   }
 
   private registerServer(report: ServerReport): void {
+    this.departed.deleteServer(report.id);
     const server = this.engine.fleet.registerServer(report);
     if (!this.sessions.has(report.id)) {
       this.openSession(report, server);
@@ -542,9 +564,7 @@
         this.engine.dropOwner(name, nowMs);
       }
     });
-    this.deregisteredServers.forEach((sinceMs, id) =>
-      this.checkDeregisteredServer(id, nowMs - sinceMs),
-    );
+    this.departed.check();
     this.relocations.forEach((_report, id) => this.checkRelocation(id));
     this.reportCancels(nowMs);
     this.runSchedulingPass();
@@ -613,18 +633,6 @@
     }
   }
 
-  /** Closes the session of a deregistered server once no leader can have runs there. */
-  private checkDeregisteredServer(id: ServerId, deregisteredForMs: number): void {
-    const session = this.sessions.get(id);
-    const isNoLongerUsed =
-      session?.isConnectionRefused() === true ||
-      deregisteredForMs >= DEREGISTERED_SERVER_RETENTION_MS;
-    if (session === undefined || (isNoLongerUsed && session.isIdle())) {
-      this.deregisteredServers.delete(id);
-      this.closeSession(id);
-    }
-  }
-
   /** Uses a server at its new address once none of its runs can be in progress at the old one. */
   private checkRelocation(id: ServerId): void {
     const report = this.relocations.get(id);
@@ -633,6 +641,7 @@
     }
     this.relocations.delete(id);
     this.closeSession(id);
+    this.entries.forEach((port) => port.reportSettledServers([id]));
     this.openSession(report, this.engine.fleet.registerServer(report));
     this.requestSchedulingPass();
   }
@@ -752,16 +761,6 @@
     return isClosed === true ? undefined : target;
   }
 
-  /** Tells the owners of the jobs on a server that the next leader may not know the server. */
-  private reportHiddenRuns(server: EngineServer): void {
-    server.runs.forEach(({ task }) => {
-      const owner = this.engine.findOwner(task);
-      if (owner !== undefined) {
-        this.entries.get(owner)?.reportHiddenRun(parseJobIdOfTask(task));
-      }
-    });
-  }
-
   private reportCrash(record: CrashRecord, owner: InstanceName | undefined): void {
     if (owner === undefined) {
       this.options.log.warn(record, 'server crashed or fell silent under a task');
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -130,6 +130,7 @@
     reportCrash() {},
     reportLife() {},
     reportHiddenRun() {},
+    reportSettledServers() {},
     answerCancel() {},
     reportCancels() {},
     reportPending() {},
--- a/packages/instance/src/store/fleet-mirror.ts
+++ b/packages/instance/src/store/fleet-mirror.ts
@@ -112,7 +112,11 @@
   }
 
   onEvents(events: readonly StoreEvent[]): void {
-    events.forEach((event) => {
+    // Only the latest state of each entry counts: a server whose entry has gone since is not used any more.
+    const latest = new Map(
+      events.map((event) => [event.kind === 'written' ? event.item.key : event.key, event]),
+    );
+    latest.forEach((event) => {
       if (event.kind === 'written') {
         this.applyItem(event.item);
       } else {
--- a/packages/instance/tests/fleet-mirror.test.ts
+++ b/packages/instance/tests/fleet-mirror.test.ts
@@ -52,6 +52,17 @@
     expect(lines.records).toHaveLength(1);
   });
 
+  // Guards against a server that a leader uses although every process that starts now knows nothing of it.
+  it('adopts no server whose entry was written and has gone when both are read', () => {
+    const { mirror, adopted } = buildMirror();
+    mirror.onEvents([
+      { kind: 'written', item: buildItem('i-1') },
+      { kind: 'written', item: buildItem('i-2') },
+      { kind: 'deleted', key: 'servers/i-1', revision: 2 },
+    ]);
+    expect(adopted).toEqual(['i-2']);
+  });
+
   // Guards against two runs of a task: a leader that does not know all servers must know that it does not.
   it('tells of an entry that cannot be read, until it is readable or gone', () => {
     const { mirror } = buildMirror();
--- a/packages/instance/tests/leader-link.test.ts
+++ b/packages/instance/tests/leader-link.test.ts
@@ -19,6 +19,7 @@
 import { LinkSession } from '../src/links/link-session';
 import { linkTiming } from '../src/links/link-timing';
 import type { PingFlags } from '../src/links/ping-flags';
+import type { ServerExchange } from '../src/links/server-exchange';
 import type { RegisteredInstance } from '../src/registry/registered-instance';
 import { buildJobSubmission } from './fixtures/build-job-submission';
 import { RecordingEntry } from './fixtures/recording-entry';
@@ -47,6 +48,7 @@
 }
 
 describe('the link from an entry instance to a leader', () => {
+  const servers: ServerExchange = { computeDigest: () => '', exchangeServers: () => [] };
   const flags: { current: PingFlags } = { current: { isIdle: true, isReportNeeded: false } };
   let proxy: FaultProxy;
   let server: ControlServer;
@@ -71,6 +73,7 @@
       entry,
       linkTiming.silenceTimeoutMs,
       () => flags.current,
+      servers,
       (reason) => {
         closedFor = reason;
         closedAtMs = systemClock.now();
@@ -91,6 +94,8 @@
           leaderPort = port;
           return 'all';
         },
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry: () => {
           counts.closed += 1;
         },
--- a/packages/instance/tests/link-service.test.ts
+++ b/packages/instance/tests/link-service.test.ts
@@ -8,10 +8,15 @@
   type EntryBatch,
 } from '@guavaspindle/protocol/gen/guavaspindle/instance/v1/instance_pb';
 import { BatchQueue } from '../src/links/batch-queue';
+import { computeServerDigest } from '../src/links/compute-server-digest';
 import { encodeJob } from '../src/links/encode-job';
+import { encodeServer } from '../src/links/encode-server';
 import { LinkService } from '../src/links/link-service';
 import { linkTiming } from '../src/links/link-timing';
 import { buildJobSubmission } from './fixtures/build-job-submission';
+import { buildServerReport } from './fixtures/build-server-report';
+
+const SERVER = buildServerReport(0);
 
 describe('the link of an entry instance', () => {
   beforeEach(() => {
@@ -32,6 +37,8 @@
     const service = new LinkService(
       {
         openEntry: () => 'all',
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry() {},
         submitJob: (_part, { spec, callerDomain }) => {
           submitted.push(spec.id);
@@ -77,6 +84,8 @@
     const service = new LinkService(
       {
         openEntry: () => 'all',
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry() {},
         submitJob: (_part, { spec, moveCount }) => calls.push([spec.id, moveCount]),
         cancelJob() {},
@@ -103,6 +112,49 @@
     await jest.advanceTimersByTimeAsync(2_000);
   });
 
+  // Guards against a leader that starts a resumed job before it knows the servers of the earlier leader.
+  it.each([
+    ['lists its servers', 'other', ['0'], false],
+    ['lists no servers that the instance knows', computeServerDigest([SERVER]), [], true],
+  ])('%s, and learns others before the jobs', async (_name, serverDigest, listed, isSame) => {
+    const calls: unknown[] = [];
+    const job = buildJobSubmission();
+    const service = new LinkService(
+      {
+        openEntry: () => 'all',
+        listServers: () => [SERVER],
+        adoptUnlistedServers: (_part, servers) => calls.push(servers),
+        closeEntry() {},
+        submitJob: (_part, { spec }) => calls.push(spec.id),
+        cancelJob() {},
+        recordCancels() {},
+        dropUnlistedJobs() {},
+        dropCaller() {},
+        getView: () => ({ heardLeader: '', isIsolated: false, leadsDomain: false }),
+      },
+      systemClock,
+      createLogger({ name: 'test', level: 'fatal' }),
+    );
+    const requests = new BatchQueue<EntryBatch>(() => create(EntryBatchSchema));
+    requests.addToBatch((batch) => {
+      const hello = { instance: 'entry-1', part: 'all', serverDigest };
+      batch.hello = create(EntryBatchSchema, { hello }).hello;
+      batch.jobs.push(encodeJob(job));
+      batch.servers.push(encodeServer(buildServerReport(1)));
+    });
+    const first = await service.openLink(requests).next();
+    const hello = first.done === true ? undefined : first.value.hello;
+    expect(hello?.servers.map(({ id }) => id)).toEqual(listed);
+    expect(hello?.knowsSameServers).toBe(isSame);
+    await jest.advanceTimersByTimeAsync(50);
+    expect(calls).toEqual([
+      [{ ...buildServerReport(1), bornMs: 0, isDraining: true }],
+      job.spec.id,
+    ]);
+    requests.close();
+    await jest.advanceTimersByTimeAsync(2_000);
+  });
+
   // Guards against one job that ends the link, and so the service, of all jobs of an entry instance.
   it('fails only the job whose submission throws', async () => {
     const submitted: string[] = [];
@@ -110,6 +162,8 @@
     const service = new LinkService(
       {
         openEntry: () => 'all',
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry() {},
         submitJob: (_part, { spec }) => {
           if (spec.id === odd.spec.id) {
@@ -153,6 +207,8 @@
     const service = new LinkService(
       {
         openEntry: () => 'all',
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry: () => {
           closed += 1;
         },
@@ -194,6 +250,8 @@
     const service = new LinkService(
       {
         openEntry: () => 'all',
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry: () => {
           closed += 1;
         },
@@ -222,6 +280,8 @@
     const service = new LinkService(
       {
         openEntry: () => 'all',
+        listServers: () => [],
+        adoptUnlistedServers() {},
         closeEntry() {},
         submitJob() {},
         cancelJob() {},
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -457,6 +457,70 @@
     pool.close();
   });
 
+  // Guards against an instance that takes a job over after its first owner has been told.
+  it('tells the next owner of such a job too, and all instances once it starts nothing there', async () => {
+    const servers = [new FakeServer()];
+    const { pool, entry } = buildPool(servers);
+    const next = new RecordingEntry();
+    pool.addEntry('entry-2' as InstanceName, next);
+    servers[0]!.runBehavior = { durationMs: 900, how: 'done' };
+    await jest.advanceTimersByTimeAsync(20);
+    const job = buildJobSubmission();
+    pool.submitJob(job);
+    await jest.advanceTimersByTimeAsync(20);
+    pool.dropServer('0' as ServerId);
+    expect([entry, next].map(({ hidden }) => hidden)).toEqual([[job.spec.id], []]);
+    expect([entry, next].map(({ settledServers }) => settledServers)).toEqual([['0'], ['0']]);
+    expect(pool.listServers()).toEqual([]);
+    pool.submitJob({ ...job, owner: 'entry-2' as InstanceName });
+    expect(next.hidden).toEqual([job.spec.id]);
+    pool.close();
+  });
+
+  // Guards against a server that is forgotten although nobody knows what an earlier leader has started there.
+  it('settles a server that has never answered only once the leases there have expired', async () => {
+    const servers = [new FakeServer()];
+    const { pool, entry } = buildPool(servers);
+    servers[0]!.isCutOff = true;
+    await jest.advanceTimersByTimeAsync(20);
+    pool.dropServer('0' as ServerId);
+    await jest.advanceTimersByTimeAsync(1_900);
+    expect(entry.settledServers).toEqual([]);
+    expect(pool.listServers().map(({ id }) => id)).toEqual(['0']);
+    await jest.advanceTimersByTimeAsync(400);
+    expect(entry.settledServers).toEqual(['0']);
+    pool.close();
+  });
+
+  // Guards against a second run of a task that runs on a server without an entry, and against a needless wait.
+  it.each([
+    ['answers', {}, 100, 1],
+    ['has ended', { isRefusing: true }, 200, 0],
+    ['is cut off', { isCutOff: true }, 1_950, 0],
+  ])(
+    'starts a resumed job once a server without an entry, of an earlier leader, %s',
+    async (_name, state, startsWithinMs, runsThere) => {
+      const servers = [new FakeServer(), new FakeServer()];
+      const { pool, entry } = buildPool(servers, { listed: 1 });
+      const job = buildJobSubmission({ taskCount: 2, changes: RESUMED });
+      servers[1]!.runBehavior = { durationMs: 500, how: 'done' };
+      if (runsThere > 0) {
+        servers[1]!.beginRun(`${job.spec.id}.0.0.0` as TaskId, 1);
+      }
+      Object.assign(servers[1]!, state);
+      pool.adoptUnlistedServers([buildServerReport(1)]);
+      expect(pool.listServers().map(({ id }) => id)).toEqual(['0', '1']);
+      pool.submitJob(job);
+      await jest.advanceTimersByTimeAsync(startsWithinMs);
+      expect(servers[0]!.starts).toHaveLength(2 - runsThere);
+      await jest.advanceTimersByTimeAsync(2_500);
+      expect(servers[1]!.starts).toHaveLength(runsThere);
+      expect(entry.outcomes.get(job.spec.id)).toEqual({ kind: 'completed' });
+      expect(entry.settledServers).toEqual(['1']);
+      pool.close();
+    },
+  );
+
   it('extends no lease of runs whose jobs are not submitted: their leader relies on the expiry', async () => {
     const server = new FakeServer();
     server.runBehavior = { durationMs: 5_000, how: 'done' };
--- a/packages/instance/tests/reopened-link.test.ts
+++ b/packages/instance/tests/reopened-link.test.ts
@@ -80,6 +80,7 @@
         entry.buildPort(PART),
         linkTiming.silenceTimeoutMs,
         () => ({ isIdle: !entry.hasJobsAt(PART), isReportNeeded: false }),
+        { computeDigest: () => '', exchangeServers: () => [] },
         () => {
           entry.setLeader(PART, undefined);
           onLinkClosed();
@@ -102,6 +103,8 @@
         pool.addEntry(name, port, listsJobs);
         return 'all';
       },
+      listServers: () => [],
+      adoptUnlistedServers() {},
       closeEntry: (_part, name, port) => pool.dropEntry(name, port),
       submitJob: (_part, submission) => pool.submitJob(submission),
       dropUnlistedJobs: (_part, name) => pool.dropUnlistedJobs(name),
