--- a/packages/instance/src/bin/instance.ts
+++ b/packages/instance/src/bin/instance.ts
@@ -1,11 +1,13 @@
 import { createLogger } from 'bunyan';
 import { Builtins, Cli, Command, Option } from 'clipanion';
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
 import { watchFatalErrors } from '@guavaspindle/runtime/process/watch-fatal-errors';
 import { buildInstance } from '../build-instance';
 import { BoundedLogStream } from '../process/bounded-log-stream';
 import { buildFaultHandler } from '../process/build-fault-handler';
 import { readSettingsFile } from '../process/read-settings-file';
 import type { RunningInstance } from '../process/running-instance';
+import { parseJobLimits } from './parse-job-limits';
 import { WarmUpCommand } from './warm-up-command';
 
 const NAME = 'guavaspindle-instance';
@@ -27,6 +29,15 @@
     description: `The platform's settings file; ${SETTINGS_VARIABLE} names it otherwise.`,
   });
 
+  maxJobItems = Option.String('--max-job-items', String(defaultJobLimits.maxJobItems), {
+    description: 'Largest number of tasks, and of references between steps, of one job.',
+  });
+
+  maxOpenItems = Option.String('--max-open-items', String(defaultJobLimits.maxOpenItems), {
+    description:
+      'The same for all open jobs of an instance, and of the part of the servers that it leads.',
+  });
+
   check = Option.Boolean('--check', false, { description: 'Check the settings and exit.' });
 
   override async execute(): Promise<number | undefined> {
@@ -40,6 +51,11 @@
       this.context.stderr.write(`${settings.error}\n`);
       return EXIT_BAD_SETTINGS;
     }
+    const jobLimits = parseJobLimits(this.maxJobItems, this.maxOpenItems);
+    if (jobLimits.isErr()) {
+      this.context.stderr.write(`${jobLimits.error}\n`);
+      return EXIT_BAD_SETTINGS;
+    }
     if (this.check) {
       this.context.stdout.write(`${path}: the settings are in order.\n`);
       return 0;
@@ -69,7 +85,7 @@
         'settings file read again; changes take effect after a restart',
       );
     });
-    instance = await buildInstance(settings.value, log);
+    instance = await buildInstance(settings.value, log, jobLimits.value);
     await terminated;
     log.info({ signal: 'SIGTERM' }, 'shutdown begins');
     await instance.shutDown();
--- a/packages/instance/src/build-instance.ts
+++ b/packages/instance/src/build-instance.ts
@@ -3,6 +3,8 @@
 import type Logger from 'bunyan';
 import { Hono } from 'hono';
 import type { NetworkAddress } from '@guavaspindle/kernel/address/network-address';
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
+import type { JobLimits } from '@guavaspindle/kernel/engine/job-limits';
 import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
 import { listParts } from '@guavaspindle/kernel/layout/list-parts';
 import { PartOffers } from '@guavaspindle/kernel/layout/part-offers';
@@ -85,6 +87,7 @@
 export async function buildInstance(
   settings: InstanceSettings,
   log: Logger,
+  jobLimits: JobLimits = defaultJobLimits,
 ): Promise<RunningInstance> {
   const clock = systemClock;
   const loop = new LoopMonitor(clock);
@@ -114,6 +117,7 @@
     metrics,
     domain: settings.domain,
     ackTimeoutMs: settings.ackTimeoutMs,
+    jobLimits,
     findConfiguration: () => configuration.findConfiguration(),
     countRackServers: (part, rack) => racks.countServers(part, rack),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called after wiring
@@ -149,6 +153,7 @@
       maxLeaseMs: settings.maxLeaseMs,
       stopTimeoutMs: settings.stopTimeoutMs,
       remoteFactor: settings.remoteFactor,
+      jobLimits,
       openServerClient: ({ id, address }) => new ServerClient(id, address, ORDER_TIMEOUT_MS),
       readServers: async () => {
         const snapshot = await store.readPrefix(storeKeys.serversPrefix);
--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -2,6 +2,9 @@
 import { CANCEL_RETENTION_MS } from '@guavaspindle/kernel/engine/cancel-retention-ms';
 import { CancelledJobs } from '@guavaspindle/kernel/engine/cancelled-jobs';
 import { CrashLedger } from '@guavaspindle/kernel/engine/crash-ledger';
+import { countJobItems } from '@guavaspindle/kernel/engine/count-job-items';
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
+import type { JobLimits } from '@guavaspindle/kernel/engine/job-limits';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import type { JobSpec } from '@guavaspindle/kernel/engine/job-spec';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
@@ -37,6 +40,13 @@
 /** Retry delay reported to the caller of a job that has not been run. */
 const RETRY_AFTER_MS = 1_000;
 
+/** Number of leaders that may go without notice under a job. */
+const MAX_LOST_LEADERS = 2;
+/** Reason for giving up a job after that. */
+const LEADERS_LOST = 'leaders lost under the job';
+/** Reason for not taking a job beside the open ones of this instance. */
+const TOO_MANY_TASKS = 'too many tasks are open';
+
 const NO_DOMAINS: ReadonlySet<DomainName> = new Set();
 
 /** Reason for not taking a job whose caller closed the connection before the request was read. */
@@ -52,6 +62,8 @@
   readonly domain: DomainName;
   /** Time within which a cancellation is to be answered, in milliseconds. */
   readonly ackTimeoutMs: number;
+  /** How much work callers may have open; the limits of the product by default. */
+  readonly jobLimits?: JobLimits;
   findConfiguration(): Configuration | undefined;
   /** Counts the servers of a rack that belong to a part; without it, racks do not matter. */
   countRackServers?(part: PoolPart, rack: string): number;
@@ -72,6 +84,8 @@
  * backend servers: its home part, or the part to which that leader sends it on.
  */
 export class EntryJobs implements JobService {
+  readonly jobLimits: JobLimits;
+
   private readonly jobs = new Map<JobId, OpenJob>();
 
   private readonly leaders = new Map<PartId, LeaderPort>();
@@ -96,7 +110,8 @@
   private readonly cancelForwards: CancelForwards;
 
   constructor(private readonly options: EntryJobsOptions) {
-    const { clock, domain, ackTimeoutMs } = options;
+    const { clock, domain, ackTimeoutMs, jobLimits = defaultJobLimits } = options;
+    this.jobLimits = jobLimits;
     const findLeader = (part: PartId): LeaderPort | undefined => this.leaders.get(part);
     this.callerCancels = new CallerCancels({
       answerTimeoutMs: ackTimeoutMs - cancelTiming.answerMarginMs,
@@ -182,6 +197,21 @@
     leader?.reportAllSubmitted();
   }
 
+  /**
+   * Records that the leader of a part has gone without notice and another process leads now. A job under which that
+   * has happened twice may be the reason: its callers are answered, and it is not given to a third leader.
+   */
+  recordLostLeader(part: PartId): void {
+    this.jobs.forEach((job) => {
+      if (job.part === part && job.leaderLostAtMs !== undefined) {
+        job.lostLeaders += 1;
+        if (job.lostLeaders >= MAX_LOST_LEADERS) {
+          [...job.waiters].forEach((settle) => this.endWait(job, settle, LEADERS_LOST));
+        }
+      }
+    });
+  }
+
   /** Builds the receiver of the messages from the leader of a part. */
   buildPort(part: PartId): EntryPort {
     let isUnproved = false;
@@ -281,6 +311,12 @@
     if (known === undefined && this.isRefusing) {
       return { kind: 'not-run', reason: 'shutdown', retryAfterMs: RETRY_AFTER_MS };
     }
+    if (
+      known === undefined &&
+      this.countOpenItems() + countJobItems(spec) > this.jobLimits.maxOpenItems
+    ) {
+      return { kind: 'not-run', reason: TOO_MANY_TASKS, retryAfterMs: RETRY_AFTER_MS };
+    }
     const job = known ?? this.addJob(spec);
     const marginMs = Math.min(ANSWER_MARGIN_MS, timeoutMs * MAX_ANSWER_MARGIN_SHARE);
     return new Promise((resolve) => {
@@ -487,6 +523,14 @@
     return this.parts.some(({ id }) => !job.triedParts.has(id));
   }
 
+  private countOpenItems(): number {
+    let items = 0;
+    this.jobs.forEach(({ spec }) => {
+      items += countJobItems(spec);
+    });
+    return items;
+  }
+
   private addJob(spec: JobSpec): OpenJob {
     const job: OpenJob = {
       spec,
@@ -504,6 +548,7 @@
       mayRunOnUnknownServers: false,
       unknownRunsExpireAtMs: 0,
       isCancelled: false,
+      lostLeaders: 0,
       leaderLostAtMs: undefined,
     };
     this.jobs.set(spec.id, job);
--- a/packages/instance/src/entry/open-job.ts
+++ b/packages/instance/src/entry/open-job.ts
@@ -40,6 +40,8 @@
   unknownRunsExpireAtMs: number;
   /** True once the job is known to be cancelled: it is not submitted to any leader any more. */
   isCancelled: boolean;
+  /** Number of leaders that have gone without notice while they had the job. */
+  lostLeaders: number;
   /** When the last leader that has the job was lost, in monotonic milliseconds. */
   leaderLostAtMs: number | undefined;
 }
--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -2,6 +2,7 @@
 import type Logger from 'bunyan';
 import type { EngineSubmission } from '@guavaspindle/kernel/engine/engine-submission';
 import type { ServerReport } from '@guavaspindle/kernel/engine/server-report';
+import type { IncarnationId } from '@guavaspindle/kernel/ids/incarnation-id';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
@@ -110,6 +111,9 @@
   /** Whether the leader has said that it leaves, whoever is to take over. */
   private hasLeaderAnnounced = false;
 
+  /** The last leader, if its process may have ended without notice. */
+  private lostLeader: IncarnationId | undefined;
+
   private domainBackoffUntilMs = 0;
 
   private nextWriteAtMs = 0;
@@ -598,6 +602,7 @@
     if (scope === 'all') {
       pool.adoptUnlistedServers(this.servers.exchangeServers(pool.listServers()));
     }
+    this.recordLostLeader(self.incarnation);
     entry.setLeader(part.id, {
       isDomainOnly: scope === 'domain',
       submitJob: (submission) =>
@@ -639,10 +644,12 @@
     pool.close();
   }
 
-  private handleLinkClosed(link: LeaderLink, reason: string): void {
+  private handleLinkClosed(link: LeaderLink, reason: string, hasFailed: boolean): void {
     if (this.link !== link) {
       return;
     }
+    const isLeaderLost = hasFailed && !this.hasLeaderAnnounced && !link.isDomainOnly;
+    this.lostLeader = isLeaderLost ? link.leader.incarnation : undefined;
     const { part, log, entry } = this.options;
     const fields = { part: part.id, leader: link.leader.name, reason };
     if (reason === NOT_NEEDED) {
@@ -655,6 +662,15 @@
     this.wakeUp();
   }
 
+  /** Tells the jobs of a leader that has gone without notice, once another process leads. */
+  private recordLostLeader(successor: IncarnationId): void {
+    const { lostLeader } = this;
+    this.lostLeader = undefined;
+    if (lostLeader !== undefined && lostLeader !== successor) {
+      this.options.entry.recordLostLeader(this.options.part.id);
+    }
+  }
+
   private async openLink(
     leader: RegisteredInstance,
   ): Promise<'up' | 'not-leader' | 'refused' | 'unreachable'> {
@@ -675,7 +691,7 @@
         isReportNeeded: this.options.isReportNeeded(),
       }),
       this.servers,
-      (reason) => this.handleLinkClosed(link, reason),
+      (reason, hasFailed) => this.handleLinkClosed(link, reason, hasFailed),
     );
     const opened = await link.open();
     if (opened !== 'up' || this.isClosed) {
@@ -689,6 +705,7 @@
     log.info({ part: part.id, leader: leader.name }, 'link to the leader open');
     this.isIsolated = false;
     this.link = link;
+    this.recordLostLeader(leader.incarnation);
     entry.setLeader(part.id, link);
     return 'up';
   }
--- a/packages/instance/src/links/leader-link.ts
+++ b/packages/instance/src/links/leader-link.ts
@@ -62,7 +62,8 @@
    * @param silenceTimeoutMs - the link is closed after this time without an answer to a ping
    * @param readFlags - returns what the next ping has to tell the leader
    * @param servers - the servers that this instance knows
-   * @param onClosed - called once when the link is closed, for whatever reason
+   * @param onClosed - called once when the link is closed; `hasFailed` if the leader fell silent or the connection
+   *   broke off, so that the leader's process may have ended
    */
   constructor(
     private readonly part: PartId,
@@ -73,7 +74,7 @@
     silenceTimeoutMs: number,
     private readonly readFlags: () => PingFlags,
     private readonly servers: ServerExchange,
-    private readonly onClosed: (reason: string) => void,
+    private readonly onClosed: (reason: string, hasFailed: boolean) => void,
   ) {
     this.session = new LinkSession(`http://${leader.address}`);
     this.monitor = new LinkMonitor(silenceTimeoutMs);
@@ -188,7 +189,7 @@
   }
 
   /** Closes the link; no effect if it is already closed. */
-  close(reason: string): void {
+  close(reason: string, hasFailed = false): void {
     if (this.isClosed) {
       return;
     }
@@ -196,7 +197,7 @@
     clearTimeout(this.pingTimer);
     this.batches.close();
     this.session.abort();
-    this.onClosed(reason);
+    this.onClosed(reason, hasFailed);
   }
 
   /** Passes on, before the jobs, which servers earlier leaders may have runs on. */
@@ -229,7 +230,7 @@
       // Messages that arrived while the event loop was blocked are read before the link is closed.
       setImmediate(() => {
         if (this.monitor.isSilent(this.clock.now())) {
-          this.close('silent');
+          this.close('silent', true);
         } else {
           this.schedulePing();
         }
@@ -267,7 +268,7 @@
       }
       this.close('stream ended by the leader');
     } catch (error) {
-      this.close((error as Error).message);
+      this.close((error as Error).message, true);
     }
   }
 
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -134,10 +134,11 @@
 
   constructor(private readonly options: PoolOptions) {
     this.fencingToken = options.fencingToken;
-    const { remoteFactor } = options;
+    const { remoteFactor, jobLimits } = options;
     this.engine = new JobEngine(
       options.domain === undefined,
       remoteFactor === undefined ? undefined : { remoteFactor },
+      jobLimits?.maxOpenItems,
     );
     this.departed = new DepartedServers({
       clock: options.clock,
--- a/packages/instance/src/pool/pool-options.ts
+++ b/packages/instance/src/pool/pool-options.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 import type { ColdLimits } from '@guavaspindle/kernel/engine/cold-limits';
+import type { JobLimits } from '@guavaspindle/kernel/engine/job-limits';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartOffers } from '@guavaspindle/kernel/layout/part-offers';
@@ -26,6 +27,8 @@
   readonly stopTimeoutMs: number;
   /** Run time outside the preferred rack relative to that inside; undefined if the settings do not tell. */
   readonly remoteFactor?: number | undefined;
+  /** How much work may be open; the limits of the product by default. */
+  readonly jobLimits?: JobLimits;
   /** Opens a client for a server. */
   openServerClient(report: ServerReport): ServerApi;
   /** Reads all server entries from the store and adopts them; returns false if the store does not answer. */
--- a/packages/instance/src/process/warm-up.ts
+++ b/packages/instance/src/process/warm-up.ts
@@ -4,6 +4,7 @@
 import type { NetworkAddress } from '@guavaspindle/kernel/address/network-address';
 import type { DomainName } from '@guavaspindle/kernel/ids/domain-name';
 import type { InstanceName } from '@guavaspindle/kernel/ids/instance-name';
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { PartId } from '@guavaspindle/kernel/ids/part-id';
 import type { QueueName } from '@guavaspindle/kernel/ids/queue-name';
@@ -159,7 +160,7 @@
   for (let submitted = 0; submitted < jobs && !isOver(); submitted += CONCURRENCY) {
     const group = Array.from({ length: CONCURRENCY }, async (_unused, index) => {
       const id = (submitted + index).toString(16).padStart(16, '0') as JobId;
-      const spec = parseJob(JOB_TEXT, id, QUEUE);
+      const spec = parseJob(JOB_TEXT, id, QUEUE, defaultJobLimits.maxJobItems);
       if (spec.isErr()) {
         return;
       }
--- a/packages/instance/tests/entry-jobs.test.ts
+++ b/packages/instance/tests/entry-jobs.test.ts
@@ -105,6 +105,45 @@
     expect(await answer).toMatchObject({ kind: 'unknown' });
   });
 
+  // Guards against jobs that together ask for more than a process can hold, though none does alone.
+  it('refuses a job truly, and at once, beside open jobs with too many tasks', async () => {
+    const entry = buildEntry();
+    const leader = buildLeader();
+    entry.setLeader(ALL, leader);
+    const half = entry.jobLimits.maxOpenItems / 2;
+    [1, 2].forEach((number) => {
+      void entry.runJob(buildJobSubmission({ number, taskCount: half }).spec, 9_000, NEVER);
+    });
+    const { spec } = buildJobSubmission({ number: 3 });
+    expect(await entry.runJob(spec, 9_000, NEVER)).toMatchObject({ kind: 'not-run' });
+    expect(leader.submissions).toHaveLength(2);
+    entry.buildPort(ALL).endJob(buildJobSubmission({ number: 1 }).spec.id, { kind: 'completed' });
+    void entry.runJob(spec, 9_000, NEVER);
+    expect(leader.submissions).toHaveLength(3);
+  });
+
+  // Guards against a job that ends the process of one leader after another.
+  it('gives no job to a third leader after two that have gone without notice', async () => {
+    const entry = buildEntry();
+    entry.setLeader(ALL, buildLeader());
+    const { spec } = buildJobSubmission({ number: 1 });
+    const answer = entry.runJob(spec, 9_000, NEVER);
+    const later = buildJobSubmission({ number: 2 }).spec;
+    const leaders = [1, 2].map(() => {
+      entry.setLeader(ALL, undefined);
+      entry.recordLostLeader(ALL);
+      const leader = buildLeader();
+      entry.setLeader(ALL, leader);
+      void entry.runJob(later, 9_000, NEVER);
+      return leader;
+    });
+    expect(await answer).toEqual({ kind: 'unknown', reason: 'leaders lost under the job' });
+    expect(leaders.map(({ submissions }) => submissions.map((job) => job.spec.id))).toEqual([
+      [spec.id, later.id],
+      [later.id],
+    ]);
+  });
+
   it('tells a new leader which tasks are done and how long prior runs may stay alive', async () => {
     const entry = buildEntry();
     const first = buildLeader();
--- a/packages/instance/tests/leader-link.test.ts
+++ b/packages/instance/tests/leader-link.test.ts
@@ -58,6 +58,7 @@
   let leaderPort: EntryPort;
   let leaderSide: { closed: number };
   let closedFor: string | undefined;
+  let closedAfterFailure: boolean | undefined;
   let closedAtMs = 0;
 
   /** Opens a link through the proxy to the leader that the server serves. */
@@ -74,8 +75,9 @@
       linkTiming.silenceTimeoutMs,
       () => flags.current,
       servers,
-      (reason) => {
+      (reason, hasFailed) => {
         closedFor = reason;
+        closedAfterFailure = hasFailed;
         closedAtMs = systemClock.now();
       },
     );
@@ -158,6 +160,7 @@
     const silentAtMs = systemClock.now();
     await pause(linkTiming.silenceTimeoutMs + intervalMs + SLACK_MS);
     expect(closedFor).toBe('silent');
+    expect(closedAfterFailure).toBe(true);
     expect(closedAtMs - silentAtMs).toBeGreaterThan(linkTiming.silenceTimeoutMs / 2);
   });
 
@@ -187,6 +190,14 @@
     expect(entry.load).toMatchObject({ spareCpuMilli: 7, loopLagMs: 1 });
   });
 
+  // Guards against a job under which one leader after another ends: each end has to be noticed as one.
+  it('is closed as failed when the connection breaks off, as at the end of the process', async () => {
+    await openLink();
+    proxy.setMode('refuse');
+    await pause(SLACK_MS);
+    expect(closedAfterFailure).toBe(true);
+  });
+
   it('carries the last messages of a leader that ends the link', async () => {
     await openLink();
     const { id } = buildJobSubmission().spec;
@@ -195,6 +206,7 @@
     await pause(200);
     expect(entry.unstarted).toEqual([id]);
     expect(closedFor).toBe('stream ended by the leader');
+    expect(closedAfterFailure).toBe(false);
   });
 
   it('stays open to a leader of an earlier build, which does not read pings', async () => {
--- a/packages/instance/tests/odd-jobs.test.ts
+++ b/packages/instance/tests/odd-jobs.test.ts
@@ -1,5 +1,6 @@
 import { toBinary } from '@bufbuild/protobuf';
 import fc from 'fast-check';
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
 import type { JobId } from '@guavaspindle/kernel/ids/job-id';
 import type { QueueSettings } from '@guavaspindle/kernel/engine/queue-settings';
 import { parseJob } from '@guavaspindle/platform-adapter/callers/parse-job';
@@ -22,7 +23,7 @@
 
 /** Parses a job and encodes it as for the link to the leader; returns whether it was accepted. */
 function encodeAccepted(text: string, queue: QueueSettings): boolean {
-  const spec = parseJob(text, ID, queue);
+  const spec = parseJob(text, ID, queue, defaultJobLimits.maxJobItems);
   if (spec.isOk()) {
     toBinary(SubmittedJobSchema, encodeJob({ ...buildJobSubmission(), spec: spec.value }));
   }
--- a/packages/instance/tests/partial-requests.test.ts
+++ b/packages/instance/tests/partial-requests.test.ts
@@ -1,3 +1,4 @@
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
 import { systemClock } from '@guavaspindle/kernel/time/system-clock';
 import type { JobOutcome } from '@guavaspindle/kernel/engine/job-outcome';
 import { buildCallersApp } from '@guavaspindle/platform-adapter/callers/build-callers-app';
@@ -33,6 +34,7 @@
     const configuration = parseConfiguration(buildConfigurationText(3))._unsafeUnwrap();
     let endWait = (_outcome: JobOutcome): void => {};
     const app = buildCallersApp({
+      jobLimits: defaultJobLimits,
       findConfiguration: () => configuration,
       runJob: async () =>
         new Promise((resolve) => {
--- a/packages/instance/tests/pool-leader.test.ts
+++ b/packages/instance/tests/pool-leader.test.ts
@@ -80,6 +80,26 @@
     pool.close();
   });
 
+  // Guards against a leader that stands still, and is replaced, under jobs that many instances have taken.
+  it('refuses a job beside open ones with too many tasks, but takes one that an earlier leader had', async () => {
+    const { pool, entry } = buildPool([new FakeServer()]);
+    await jest.advanceTimersByTimeAsync(20);
+    [1, 2].forEach((number) => pool.submitJob(buildJobSubmission({ number, taskCount: 10_000 })));
+    const late = buildJobSubmission({ number: 3, taskCount: 100 });
+    pool.submitJob(late);
+    const resumed = buildJobSubmission({ number: 4, taskCount: 100, changes: RESUMED });
+    pool.submitJob(resumed);
+    pool.submitJob(buildJobSubmission({ number: 1, taskCount: 10_000 }));
+    await jest.advanceTimersByTimeAsync(1);
+    expect([...entry.outcomes.keys()]).toEqual([late.spec.id]);
+    expect(entry.outcomes.get(late.spec.id)).toMatchObject({
+      kind: 'not-run',
+      retryAfterMs: expect.any(Number) as number,
+    });
+    expect(pool.openJobs).toBe(3);
+    pool.close();
+  });
+
   it('starts nothing on a draining server', async () => {
     const servers = [new FakeServer(), new FakeServer()];
     const { pool, entry } = buildPool(servers);
--- a/packages/instance/tests/stale-requests.test.ts
+++ b/packages/instance/tests/stale-requests.test.ts
@@ -1,4 +1,5 @@
 import { Worker } from 'node:worker_threads';
+import { defaultJobLimits } from '@guavaspindle/kernel/engine/default-job-limits';
 import type { JobSpec } from '@guavaspindle/kernel/engine/job-spec';
 import { buildCallersApp } from '@guavaspindle/platform-adapter/callers/build-callers-app';
 import { parseConfiguration } from '@guavaspindle/platform-adapter/configuration/parse-configuration';
@@ -61,6 +62,7 @@
     const submitted: JobSpec[] = [];
     const configuration = parseConfiguration(buildConfigurationText(3))._unsafeUnwrap();
     const app = buildCallersApp({
+      jobLimits: defaultJobLimits,
       findConfiguration: () => configuration,
       runJob: async (spec) => {
         submitted.push(spec);
--- a/packages/instance/tests/whole-path.test.ts
+++ b/packages/instance/tests/whole-path.test.ts
@@ -69,6 +69,14 @@
     ['a short id', 'POST', '/q/a1', buildJobBody(1, 10), 'jobs.example', 400],
     ['no steps', 'POST', JOB, buildJobBody(1, 10, { steps: [] }), 'jobs.example', 400],
     ['a body over the limit', 'POST', JOB, ' '.repeat(300_000), 'jobs.example', 413],
+    [
+      'a job of a million tasks',
+      'POST',
+      JOB,
+      buildJobBody(1, 10, { steps: Array.from({ length: 100 }, () => ({ count: 10_000 })) }),
+      'jobs.example',
+      413,
+    ],
     [
       'a job that is not best effort',
       'POST',
--- a/packages/kernel/src/engine/job-engine.ts
+++ b/packages/kernel/src/engine/job-engine.ts
@@ -9,6 +9,7 @@
 import { CANCEL_RETENTION_MS } from './cancel-retention-ms';
 import { CancelledJobs } from './cancelled-jobs';
 import { compareUrgency } from './compare-urgency';
+import { computeRemainingCpuMilli } from './compute-remaining-cpu-milli';
 import { CrashLedger } from './crash-ledger';
 import type { CrashRecord } from './crash-record';
 import type { EngineEffect } from './engine-effect';
@@ -16,10 +17,13 @@
 import type { EngineRun } from './engine-run';
 import type { EngineServer } from './engine-server';
 import type { EngineTask } from './engine-task';
+import { hasRoomForJob } from './has-room-for-job';
+import { holdTasks } from './hold-tasks';
 import { OverloadControl } from './overload-control';
 import { parseJobIdOfTask } from './parse-job-id-of-task';
 import { CompletedTaskCache } from './completed-task-cache';
 import type { EngineSubmission } from './engine-submission';
+import { defaultJobLimits } from './default-job-limits';
 import { MAX_CRASHES } from './max-crashes';
 import type { JobOutcome } from './job-outcome';
 import type { LocalityOptions } from './locality-options';
@@ -47,6 +51,8 @@
 const NO_CAPACITY_REASON = 'no room in time';
 /** Reason for refusing or abandoning a job all of whose servers are in closed failure domains. */
 const CLOSED_REASON = 'all failure domains with servers for the job are closed';
+/** Reason for refusing a job because the open ones have as many tasks as a leader can handle. */
+const TOO_MANY_TASKS_REASON = 'too many tasks are open';
 /** Reason for refusing a job that no server is expected to have capacity for in useful time. */
 const NO_CAPACITY_EXPECTED_REASON = 'no room expected in time';
 /**
@@ -87,14 +93,6 @@
   }
 }
 
-/** Computes the CPU capacity that the remaining tasks of a job need, in thousandths of a core. */
-function computeRemainingCpuMilli({ spec, remainingByStep }: EngineJob): number {
-  return spec.steps.reduce(
-    (sum, { demand }, index) => sum + demand.cpuMilli * remainingByStep[index]!,
-    0,
-  );
-}
-
 /** Records a run as the one in progress for its task. */
 function attachRun(job: EngineJob, task: EngineTask, run: EngineRun): void {
   task.state = 'running';
@@ -105,13 +103,6 @@
   job.hasStarted = true;
 }
 
-/** Starts no waiting task of a job before the given time. */
-function holdTasks({ tasks }: EngineJob, untilMs: number): void {
-  tasks.forEach((task) => {
-    task.blockedUntilMs = Math.max(task.blockedUntilMs, untilMs);
-  });
-}
-
 /**
  * Runs jobs on one pool of backend servers. Performs no I/O: the time and the servers' answers are
  * passed in as arguments, and orders are returned as effects. A task has at most one run in
@@ -154,10 +145,12 @@
    * @param adoptsRuns - whether runs found on servers are attached to their jobs; false if another
    *   leader may be waiting for their leases to expire
    * @param locality - undefined if the settings do not tell how run times differ between servers
+   * @param maxOpenItems - largest number of items of open jobs; `JobLimits` tells what counts
    */
   constructor(
     private readonly adoptsRuns = true,
     locality?: LocalityOptions,
+    private readonly maxOpenItems = defaultJobLimits.maxOpenItems,
   ) {
     this.locality =
       locality === undefined || locality.remoteFactor === 1
@@ -233,6 +226,12 @@
       this.repeatOutcome(spec.id, owner, { kind: 'cancelled' }, nowMs);
       return;
     }
+    if (!hasRoomForJob(this.jobs.values(), submission, this.maxOpenItems)) {
+      const retryAfterMs = RETRY_AFTER_MS;
+      const refusal = { kind: 'not-run', reason: TOO_MANY_TASKS_REASON, retryAfterMs } as const;
+      this.repeatOutcome(spec.id, owner, refusal, nowMs);
+      return;
+    }
     const reportedTasks = this.completedTasks.takeTasks(spec.id);
     const doneTasks = new Set([...submission.doneTasks, ...reportedTasks]);
     const job = buildEngineJob({ ...submission, doneTasks }, nowMs);
