--- a/packages/instance/src/lead/leader-election.ts
+++ b/packages/instance/src/lead/leader-election.ts
@@ -106,6 +106,9 @@
 
   private wasFenced = false;
 
+  /** Revision of the last own claim whose token all servers have refused while the store did not answer. */
+  private fencedClaimRevision = -Infinity;
+
   private isLeaderLeaving = false;
 
   /** Whether the leader has said that it leaves, whoever is to take over. */
@@ -300,12 +303,18 @@
     } else if (this.wasFenced && clock.now() >= this.nextWriteAtMs) {
       // A server has seen a higher token, from an instance that was cut off or from a new leader.
       this.nextWriteAtMs = clock.now() + electionTiming.minWriteIntervalMs;
-      await registry.readNow();
+      const isRead = await registry.readNow();
       const current = registry.findClaim(part.id);
       if (current !== undefined && current.leader.incarnation !== self.incarnation) {
         this.stopLeading(`replaced by ${current.leader.name}`);
         return;
       }
+      if (!isRead && this.pool?.fences.hasAllServers() === true) {
+        // Another leader acts, and nothing can be ordered beside it.
+        this.fencedClaimRevision = current?.revision ?? 0;
+        this.stopLeading('all servers are fenced and the store does not answer');
+        return;
+      }
       const renewed = await registry.claimLeadership(part.id);
       if (renewed !== undefined) {
         this.wasFenced = false;
@@ -446,8 +455,13 @@
     }
     if (claim === undefined) {
       await this.claimInRankOrder(undefined);
-    } else if (claim.leader.incarnation === self.incarnation) {
+    } else if (
+      claim.leader.incarnation === self.incarnation &&
+      claim.revision > this.fencedClaimRevision
+    ) {
       this.startLeading(claim.revision, 'all');
+    } else if (claim.leader.incarnation === self.incarnation) {
+      await this.replaceFencedClaim(claim);
     } else if (claim.leader.name === self.name) {
       // The claim belongs to an earlier incarnation of this instance, which no longer runs.
       await this.claimUnlessDraining();
@@ -460,6 +474,25 @@
     }
   }
 
+  /** Claims the leadership again, or joins the domain, after another leader has acted beside this one. */
+  private async replaceFencedClaim(claim: LeadershipClaim): Promise<void> {
+    const { registry, part, clock } = this.options;
+    const [views, isStoreReachable] = await Promise.all([
+      fetchInstanceViews(this.listOtherCandidates(), part.id),
+      registry.readNow(),
+    ]);
+    if (registry.findClaim(part.id)?.revision !== claim.revision) {
+      return;
+    }
+    this.isIsolated = !isStoreReachable;
+    if (isStoreReachable) {
+      await this.claimUnlessDraining();
+    } else {
+      await this.joinOrLeadDomain(views);
+    }
+    await clock.pause(electionTiming.retryDelayMs);
+  }
+
   private async handleUnreachableLeader(
     claim: LeadershipClaim,
     reason: 'not-leader' | 'refused' | 'unreachable',
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -15,12 +15,14 @@
 import { isServerInPart } from '@guavaspindle/kernel/layout/is-server-in-part';
 import type { ClosedDomains } from '../links/closed-domains';
 import { cancelTiming } from '../cancels/cancel-timing';
+import { readEarlierCancels } from '../cancels/read-earlier-cancels';
 import type { EntryPort } from '../links/entry-port';
 import { linkTiming } from '../links/link-timing';
 import type { EvacuationListener } from '../store/evacuation-listener';
 import type { FleetListener } from '../store/fleet-listener';
 import { ProcessLoadMeter } from '../process/process-load-meter';
 import { DepartedServers } from './departed-servers';
+import { FencedDomains } from './fenced-domains';
 import { FleetKnowledge } from './fleet-knowledge';
 import type { PoolOptions } from './pool-options';
 import { ServerSession } from './server-session';
@@ -49,6 +51,8 @@
  * instances.
  */
 export class PoolLeader implements FleetListener, EvacuationListener {
+  readonly fences: FencedDomains;
+
   private readonly engine: JobEngine;
 
   private readonly sessions = new Map<ServerId, ServerSession>();
@@ -140,6 +144,7 @@
       remoteFactor === undefined ? undefined : { remoteFactor },
       jobLimits?.maxOpenItems,
     );
+    this.fences = new FencedDomains(() => this.engine.fleet.listServers(), options.onFenced);
     this.departed = new DepartedServers({
       clock: options.clock,
       entries: this.entries,
@@ -353,6 +358,7 @@
   /** Continues with a higher fencing token after another instance has used one. */
   adoptToken(token: number): void {
     this.fencingToken = token;
+    this.fences.clear();
     this.requestAllConfirmations();
     void this.knowledge?.adoptClaim(token);
   }
@@ -396,21 +402,10 @@
     this.wakePassWaiters();
   }
 
-  /** Reads the cancellations of earlier leaders; tries again until the store answers or time is out. */
   private async readCancels(): Promise<void> {
     const { clock, log, part, readCancels } = this.options;
     const beganMs = clock.now();
-    let ids = await readCancels();
-    while (
-      ids === undefined &&
-      !this.isClosed &&
-      clock.now() - beganMs < cancelTiming.readTimeoutMs
-    ) {
-      // eslint-disable-next-line no-await-in-loop -- the next attempt follows a failure
-      await clock.pause(cancelTiming.retryDelayMs);
-      // eslint-disable-next-line no-await-in-loop
-      ids = await readCancels();
-    }
+    const ids = await readEarlierCancels(clock, readCancels, () => this.isClosed);
     const nowMs = clock.now();
     const fields = { part: part.id, jobs: ids?.length, tookMs: Math.round(nowMs - beganMs) };
     if (ids === undefined) {
@@ -476,7 +471,8 @@
         waitForPass: () => this.waitForPass(),
         onConfirmed: () => this.checkWholePool(),
         onUnknownRun: () => this.handleUnknownRun(),
-        onFenced: () => this.options.onFenced(),
+        onFenced: () => this.fences.recordFence(report.domain),
+        isFenced: () => this.fences.hasDomain(report.domain),
       },
       clock,
       log,
@@ -590,6 +586,10 @@
         'this process was paused; starting nothing for entry instances until they answer',
       );
       this.entries.forEach((port) => port.requestProof());
+      if (pausedMs > linkTiming.silenceTimeoutMs) {
+        // Another instance may lead by now; its servers say so, but for those that have started again since.
+        this.requestAllConfirmations();
+      }
     }
   }
 
--- a/packages/instance/src/pool/server-session.ts
+++ b/packages/instance/src/pool/server-session.ts
@@ -92,7 +92,10 @@
   /** Polls the server until the session is closed; never rejects. */
   async run(): Promise<void> {
     while (!this.isClosed) {
-      if (this.server.state === 'unconfirmed') {
+      if (this.options.isFenced()) {
+        // Until there is a higher token, each call would be refused, or accepted by a life that knows no token.
+        await this.waitForToken();
+      } else if (this.server.state === 'unconfirmed') {
         await this.confirm();
       } else if (this.isRenewalDue()) {
         await this.renewLeases(this.computeRenewalWaitMs());
@@ -132,6 +135,11 @@
   async stopRun(task: TaskId, run: number, isStartUnanswered = false): Promise<void> {
     this.wakeUp();
     while (!this.isClosed && (isStartUnanswered || this.server.runs.get(task)?.run === run)) {
+      if (this.options.isFenced()) {
+        await this.clock.pause(UNREACHABLE_PAUSE_MS);
+        // eslint-disable-next-line no-continue -- the order may follow with a higher token
+        continue;
+      }
       const answer = await this.client.stopRun(task, run, this.options.fencingToken());
       if (this.isClosed) {
         return;
@@ -148,7 +156,7 @@
           return;
         case 'fenced':
           this.options.onFenced();
-          return;
+          break;
         case 'other-life':
           this.handleOtherLife();
           return;
@@ -201,7 +209,7 @@
   }
 
   private async renewUntilConfirmed(): Promise<void> {
-    while (!this.isClosed && this.server.state === 'unconfirmed') {
+    while (!this.isClosed && this.server.state === 'unconfirmed' && !this.options.isFenced()) {
       await this.renewLeases(0);
     }
     this.confirmation = undefined;
@@ -239,6 +247,15 @@
     this.wake = undefined;
   }
 
+  /** Waits while the server must not be called with the current fencing token. */
+  private async waitForToken(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.wake = resolve;
+      void this.clock.pause(UNREACHABLE_PAUSE_MS).then(resolve);
+    });
+    this.wake = undefined;
+  }
+
   private wakeUp(): void {
     this.wake?.();
   }
@@ -278,7 +295,6 @@
         return;
       case 'fenced':
         this.options.onFenced();
-        await this.clock.pause(UNREACHABLE_PAUSE_MS);
         return;
       case 'other-life':
         this.handleOtherLife();
--- a/packages/instance/src/pool/session-options.ts
+++ b/packages/instance/src/pool/session-options.ts
@@ -18,4 +18,6 @@
   onUnknownRun(): void;
   /** Called when the server has seen a higher token. */
   onFenced(): void;
+  /** Returns whether nothing may be sent to the server with the current token. */
+  isFenced(): boolean;
 }
