--- a/packages/instance/tests/takeover-schedules.test.ts
+++ b/packages/instance/tests/takeover-schedules.test.ts
@@ -19,8 +19,9 @@
   // Guards against a leader that does not know a server on which its predecessor has runs, and starts them again.
   it.each(SEEDS)('runs no task twice at the same time, seed %i', async (seed) => {
     const site = new TakeoverSite(seed);
-    void site.run(ROUNDS);
+    const ended = site.run(ROUNDS);
     await jest.advanceTimersByTimeAsync(ROUNDS * ROUND_LIMIT_MS);
+    await ended;
     expect(site.doubleRuns).toEqual([]);
     expect(site.completedJobs).toBeGreaterThan(site.answeredJobs / 4);
   });
