Comments: say plainly what a leader no longer uses and where it may order

What a newcomer stumbled over: "uses no more" at the end of long clauses, and the public member `fences` of the pool leader without a word on what it is.

--- a/packages/instance/src/entry/entry-jobs.ts
+++ b/packages/instance/src/entry/entry-jobs.ts
@@ -73,7 +73,7 @@
   onLeaderLeaving(part: PartId, successor: InstanceName | undefined): void;
   /** Called when a job needs a link to a part that has none; `setLeader` follows once it is open. */
   onPartNeeded(part: PartId): void;
-  /** Called when a leader uses servers that have no entry in the store no more. */
+  /** Called when a leader no longer uses servers that have no entry in the store. */
   onServersSettled?(ids: readonly ServerId[]): void;
   /** Called when the leader of a part reports its load. */
   onLoad(part: PartId, load: PartLoad): void;
--- a/packages/instance/src/links/entry-port.ts
+++ b/packages/instance/src/links/entry-port.ts
@@ -20,7 +20,7 @@
   /** A run of the job is on a server whose store entry is gone, so another leader may not know the server. */
   reportHiddenRun(id: JobId): void;
   /**
-   * The leader uses these servers, which have no entry in the store, no more. The owners of the jobs with runs there
+   * The leader no longer uses these servers, which have no entry in the store. The owners of the jobs with runs there
    * have been told.
    */
   reportSettledServers(ids: readonly ServerId[]): void;
--- a/packages/instance/src/pool/pool-leader.ts
+++ b/packages/instance/src/pool/pool-leader.ts
@@ -51,6 +51,7 @@
  * instances.
  */
 export class PoolLeader implements FleetListener, EvacuationListener {
+  /** Where this leader must not order anything with its present fencing token. */
   readonly fences: FencedDomains;
 
   private readonly engine: JobEngine;
@@ -247,10 +248,7 @@
     return this.departed.listUnsettled(this.engine.fleet.listServers());
   }
 
-  /**
-   * Polls the servers without an entry that earlier leaders may have used. Jobs that are submitted again wait until
-   * these have answered as well.
-   */
+  /** Polls servers without an entry that earlier leaders may have used; resumed jobs wait for their answers too. */
   adoptUnlistedServers(reports: readonly ServerReport[]): void {
     const { part, domain } = this.options;
     if (domain === undefined) {
